--- /dev/null
+++ b/Makefile
@@ -0,0 +1,30 @@
+# Targets: build, test, lint, demo (KILL=1 kills a balancer during the run), soak, measure, capacity, generate.
+GO ?= go
+SOAK_CHECKS ?= 20000
+
+.PHONY: build test lint demo soak measure capacity generate
+
+build:
+	$(GO) build -o bin/ ./cmd/...
+
+lint:
+	@unformatted=$$(gofmt -l $$(git ls-files '*.go')); \
+	if [ -n "$$unformatted" ]; then echo "gofmt: $$unformatted"; exit 1; fi
+	$(GO) vet ./...
+	$(GO) tool staticcheck ./...
+	$(GO) tool revive -config revive.toml -set_exit_status ./...
+
+test: lint build
+	./tools/test.sh
+
+demo: build
+	KILL=$(KILL) ./tools/demo.sh
+
+soak:
+	$(GO) test -count=1 -timeout=60m ./core/... -rapid.checks=$(SOAK_CHECKS)
+
+measure: build
+	$(GO) test -count=1 -run '^$$' -bench . -benchmem ./core/... ./io/...
+
+generate:
+	$(GO) run github.com/bufbuild/buf/cmd/buf@v1.75.0 generate
--- /dev/null
+++ b/core/state/member/member.go
@@ -0,0 +1,95 @@
+// Package member describes the balancers that a process knows of: their hosts, incarnations and states.
+//
+// # Usage
+//
+// core/coordination/membership builds a new View whenever the local opinion changes. Readers load the current View and
+// use it without a lock, since a View never changes after it was built. Views of different balancers may differ at any
+// time; no code may rely on agreement between them.
+package member
+
+import (
+	"net/netip"
+	"slices"
+	"strings"
+)
+
+// Incarnation identifies one run of a balancer process. It is random, so that a process which restarts on the same
+// address is another member.
+type Incarnation uint64
+
+// State is the local opinion on a member.
+type State uint8
+
+// The states. A suspect still owns its pool shards; a leaving, left or dead member does not.
+const (
+	StateAlive State = iota
+	StateSuspect
+	StateLeaving
+	StateLeft
+	StateDead
+	StateCount
+)
+
+var stateNames = [StateCount]string{"alive", "suspect", "leaving", "left", "dead"}
+
+// String returns the name of the state as used in status objects and logs.
+func (s State) String() string {
+	if s >= StateCount {
+		return "invalid"
+	}
+	return stateNames[s]
+}
+
+// Host is one member.
+type Host struct {
+	ID            string // name from the settings
+	FailureDomain string
+	Incarnation   Incarnation
+	Address       netip.AddrPort // UDP and TCP address for other balancers
+	State         State
+	Refutation    uint32 // raised by the member itself to overrule a wrong opinion on it
+}
+
+// CanOwn reports whether the member may own pool shards.
+func (h Host) CanOwn() bool { return h.State == StateAlive || h.State == StateSuspect }
+
+// IsReachable reports whether packets for the member are worth sending.
+func (h Host) IsReachable() bool { return h.CanOwn() || h.State == StateLeaving }
+
+// View is an immutable picture of the membership.
+type View struct {
+	Version       uint64 // local; rises with each change
+	Self          Host
+	Hosts         []Host // sorted by ID, then incarnation; includes Self
+	byIncarnation map[Incarnation]int
+}
+
+// NewView builds a view. It sorts and keeps the slice.
+func NewView(version uint64, self Host, hosts []Host) *View {
+	slices.SortFunc(hosts, func(a, b Host) int {
+		if c := strings.Compare(a.ID, b.ID); c != 0 {
+			return c
+		}
+		switch {
+		case a.Incarnation < b.Incarnation:
+			return -1
+		case a.Incarnation > b.Incarnation:
+			return 1
+		}
+		return 0
+	})
+	v := &View{Version: version, Self: self, Hosts: hosts, byIncarnation: make(map[Incarnation]int, len(hosts))}
+	for i, h := range hosts {
+		v.byIncarnation[h.Incarnation] = i
+	}
+	return v
+}
+
+// Lookup finds a member by its incarnation.
+func (v *View) Lookup(inc Incarnation) (Host, bool) {
+	i, ok := v.byIncarnation[inc]
+	if !ok {
+		return Host{}, false
+	}
+	return v.Hosts[i], true
+}
