Tell tickets of a recreated flow apart by a serial number

Cause: a flow that expired at its owner and was adopted again could run a delayed duplicate of an old non-idempotent request, since its ticket names the same incarnation.

--- a/core/state/flow/flow.go
+++ b/core/state/flow/flow.go
@@ -30,6 +30,13 @@
 // String returns the key as used in logs.
 func (k ShardKey) String() string { return fmt.Sprintf("%s/%s/%d", k.Pool, k.FailureDomain, k.Group) }
 
+// Grant is the right of one incarnation to run a flow's non-idempotent requests. The serial number rises with each
+// creation of a flow at that incarnation, so that a ticket from before a flow expired there is told from a later one.
+type Grant struct {
+	Owner  member.Incarnation
+	Serial uint64
+}
+
 // Ticket is the routing state of a flow, carried by the caller and authenticated by the balancers' common key.
 type Ticket struct {
 	Flow     packet.FlowID
@@ -37,7 +44,7 @@
 	Customer string
 	Class    packet.Class
 	Shard    ShardKey
-	Owner    member.Incarnation
+	Grant    Grant
 	Endpoint netip.AddrPort // pinned endpoint; not valid before the pin is known
 	IssuedAt time.Time      // to the second
 }
@@ -72,8 +79,8 @@
 
 // Snapshot is a flow as handed over to another owner.
 type Snapshot struct {
-	Ticket   Ticket               // as last issued
-	Owners   []member.Incarnation // incarnations whose tickets the receiver must accept as its own
+	Ticket   Ticket  // as last issued
+	Grants   []Grant // grants whose tickets the receiver accepts as its own
 	Caller   packet.CallerAddress
 	Service  netip.AddrPort // service address that the caller uses
 	Floor    uint64         // request numbers up to and including Floor are never run
--- a/core/state/packet/packet.go
+++ b/core/state/packet/packet.go
@@ -154,7 +154,8 @@
 // Forward is a caller datagram that one balancer sends on to another.
 type Forward struct {
 	Envelope
-	Hops uint8 // number of forwards so far, at most MaxHops
+	Hops  uint8 // number of forwards so far, at most MaxHops
+	Spill uint8 // Open only: number of pool shards that had no room so far
 }
 
 // BackendKind tells what a backend frame means.
