Add the fair queue and the endpoint set of a pool shard

The owner of a pool shard needs a bounded queue in which classes and customers can be compared, and exact counts of the slots of its endpoints. This adds both with the API that dispatch builds on.

--- /dev/null
+++ b/core/coordination/admission/push.go
@@ -0,0 +1,152 @@
+package admission
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+	"time"
+
+	"cornellb/core/state/packet"
+)
+
+// minRetryAfter is the shortest retry time in a refusal. A shorter one would only bring the caller back into the same
+// full queue.
+const minRetryAfter = 20 * time.Millisecond
+
+// maxRetryAfter is the longest retry time in a refusal, so that a caller notices when the load has gone.
+const maxRetryAfter = 5 * time.Second
+
+// Push adds an item, which must not be in a queue, and returns the items that are refused for it: the new one, one that
+// makes room for it, and those whose deadline has passed. An item that was popped before goes back to the front of its
+// customer's items. expectedWait is the time that the item is expected to wait, see EstimateWait.
+func (q *Queue) Push(now time.Time, it *Item, expectedWait time.Duration) []Refusal {
+	q.advance(now)
+	if it.Enqueued.IsZero() {
+		it.Enqueued = now
+	}
+	if it.Cost <= 0 {
+		it.Cost = 1
+	}
+	if !it.Deadline.IsZero() && (!it.Deadline.After(now) || now.Add(expectedWait).After(it.Deadline)) {
+		return []Refusal{{it, packet.ReasonDeadline, boundRetry(expectedWait - it.Deadline.Sub(now))}}
+	}
+	if q.classes[it.Class].lengthOf(it.Customer) >= q.customerLimit {
+		return []Refusal{q.refuse(now, it, packet.ReasonShare)}
+	}
+	if q.count < q.limit {
+		q.insert(it)
+		return nil
+	}
+	var refused []Refusal
+	for _, e := range q.Expire(now) {
+		refused = append(refused, Refusal{e, packet.ReasonDeadline, minRetryAfter})
+	}
+	if q.count >= q.limit {
+		victim, reason := q.victim(it)
+		if victim == it {
+			return append(refused, q.refuse(now, it, reason))
+		}
+		q.takeOut(victim, false)
+		refused = append(refused, q.refuse(now, victim, reason))
+	}
+	q.insert(it)
+	return refused
+}
+
+func (q *Queue) refuse(now time.Time, it *Item, reason packet.Reason) Refusal {
+	return Refusal{it, reason, boundRetry(q.EstimateWait(now, it.Class, it.Customer))}
+}
+
+func boundRetry(d time.Duration) time.Duration { return min(max(d, minRetryAfter), maxRetryAfter) }
+
+// victim returns the item to refuse in a full queue so that it can be added, or it itself: the newest item of the
+// longest customer of the class that is furthest above its share, the new item included. On a tie the new item is
+// refused, because replacing one item by an equal one only wastes the wait of the first.
+func (q *Queue) victim(it *Item) (*Item, packet.Reason) {
+	own := q.classes[it.Class]
+	over, most := own, float64(own.count+1)/own.weight
+	for _, c := range q.classes {
+		if ratio := float64(c.count) / c.weight; c != own && ratio > most {
+			over, most = c, ratio
+		}
+	}
+	if over != own {
+		return newest(over.byLength.top()), packet.ReasonShare
+	}
+	length := own.lengthOf(it.Customer) + 1
+	if own.count == 0 || own.byLength.top().count <= length {
+		if length > 1 {
+			return it, packet.ReasonShare
+		}
+		return it, packet.ReasonQueueFull
+	}
+	return newest(own.byLength.top()), packet.ReasonShare
+}
+
+// newest returns the item of a customer that entered the queue last.
+func newest(cu *customer) *Item {
+	var last *Item
+	for _, p := range cu.parts {
+		if last == nil || p.tail.sequence > last.sequence {
+			last = p.tail
+		}
+	}
+	return last
+}
+
+// Unpin lets the items that are pinned to an endpoint run anywhere and returns their number. They keep their place
+// among the items of their customers.
+func (q *Queue) Unpin(endpoint netip.AddrPort) int {
+	n := 0
+	for _, c := range q.classes {
+		l := c.laneOf[endpoint]
+		if l == nil || !endpoint.IsValid() {
+			continue
+		}
+		for _, p := range slices.Clone(l.parts.nodes) {
+			n += c.unpin(p)
+		}
+	}
+	return n
+}
+
+func (c *class) unpin(p *part) int {
+	var items []*Item
+	for it := p.head; it != nil; it = it.next {
+		items = append(items, it)
+	}
+	for _, it := range items {
+		c.unlink(it)
+	}
+	if free := p.owner.parts[netip.AddrPort{}]; free != nil {
+		for it := free.head; it != nil; it = it.next {
+			items = append(items, it)
+		}
+		for free.head != free.tail {
+			free.unlink(free.tail)
+		}
+		c.unlink(free.head)
+	}
+	moved := 0
+	slices.SortFunc(items, func(a, b *Item) int { return cmp.Compare(a.sequence, b.sequence) })
+	for _, it := range items {
+		if it.Endpoint.IsValid() {
+			it.Endpoint = netip.AddrPort{}
+			moved++
+		}
+		it.part = nil
+		c.append(p.owner, it)
+	}
+	return moved
+}
+
+func (c *class) append(cu *customer, it *Item) {
+	returned := it.returned
+	it.returned = false
+	c.link(cu, it)
+	it.returned = returned
+}
+
+func sortByRequest(items []*Item) {
+	slices.SortFunc(items, func(a, b *Item) int { return cmp.Compare(a.Request, b.Request) })
+}
--- /dev/null
+++ b/core/coordination/admission/rate.go
@@ -0,0 +1,78 @@
+package admission
+
+import (
+	"math"
+	"time"
+
+	"cornellb/core/state/packet"
+)
+
+// rateWindow is the time constant over which the recent service rate is measured. It spans a few dozen services of a
+// small shard and still follows a lost endpoint within seconds.
+const rateWindow = 2 * time.Second
+
+// minRateSample is the shortest busy time from which a rate is taken. With less, no wait is predicted.
+const minRateSample = 100 * time.Millisecond
+
+// decayed is a sum whose parts lose weight exponentially with age.
+type decayed struct {
+	sum float64
+}
+
+// rateClock measures busy time: the time during which the queue was not empty. Service outside of it says nothing about
+// what the endpoints can do.
+type rateClock struct {
+	last   time.Time
+	busy   float64 // decayed busy time in seconds
+	served float64 // decayed served cost
+}
+
+// advance moves the rate measurement forward to now.
+func (q *Queue) advance(now time.Time) {
+	elapsed := now.Sub(q.rate.last)
+	first := q.rate.last.IsZero()
+	if !first && elapsed <= 0 {
+		return
+	}
+	q.rate.last = now
+	if first || q.count == 0 {
+		return
+	}
+	factor := math.Exp(-elapsed.Seconds() / rateWindow.Seconds())
+	q.rate.busy = q.rate.busy*factor + elapsed.Seconds()
+	q.rate.served *= factor
+	for _, c := range q.classes {
+		c.served.sum *= factor
+	}
+}
+
+// recordServed counts a service. Items that did not wait are left out: they met a free slot, and no busy time passed.
+func (q *Queue) recordServed(now time.Time, it *Item) {
+	if !now.After(it.Enqueued) {
+		return
+	}
+	q.rate.served += it.Cost
+	q.classes[it.Class].served.sum += it.Cost
+}
+
+// EstimateWait returns the time that a new item of a customer would wait, from the recent service rate of its class,
+// or 0 if too little is known. The rate is at least the guaranteed share of the recent rate of the whole queue, because
+// a class that asked for little was served little.
+func (q *Queue) EstimateWait(now time.Time, class packet.Class, customer string) time.Duration {
+	q.advance(now)
+	c := q.classes[class]
+	if c.count == 0 || q.rate.busy < minRateSample.Seconds() {
+		return 0
+	}
+	own := 0.0
+	if cu := c.customers[customer]; cu != nil {
+		own = cu.cost
+	}
+	mean := c.cost / float64(c.count)
+	ahead := min(c.cost, (own+mean)*float64(c.byLength.len()))
+	rate := max(c.served.sum, q.rate.served*c.weight/q.weight) / q.rate.busy
+	if rate <= 0 {
+		return 0
+	}
+	return time.Duration(min(ahead/rate, maxRetryAfter.Seconds()*100) * float64(time.Second))
+}
--- /dev/null
+++ b/core/coordination/endpoint/retry.go
@@ -0,0 +1,82 @@
+package endpoint
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// Defaults of RetryConfig.
+const (
+	DefaultRetryRatio     = 0.1
+	DefaultRetryPerSecond = 1.0
+	DefaultRetryBurst     = 10.0
+	DefaultBackoffBase    = 10 * time.Millisecond
+	DefaultBackoffMax     = time.Second
+)
+
+// RetryConfig holds the settings of a RetryBudget. Zero values stand for the defaults.
+type RetryConfig struct {
+	Ratio     float64 // retries per fresh attempt
+	PerSecond float64 // retries per second in addition
+	Burst     float64 // largest number of retries that can be saved up
+	BackoffBase,
+	BackoffMax time.Duration
+}
+
+// RetryBudget limits the retries of a pool shard, so that endpoints that fail do not get more work than endpoints that
+// answer. It is a token bucket that fresh work and time fill. It takes no lock; its caller holds the lock of the shard.
+type RetryBudget struct {
+	config RetryConfig
+	random *rand.Rand
+	tokens float64
+	filled time.Time
+}
+
+// NewRetryBudget returns a budget with a full bucket. random jitters the backoff.
+func NewRetryBudget(c RetryConfig, random *rand.Rand) *RetryBudget {
+	if c.Ratio <= 0 {
+		c.Ratio = DefaultRetryRatio
+	}
+	if c.PerSecond <= 0 {
+		c.PerSecond = DefaultRetryPerSecond
+	}
+	if c.Burst <= 0 {
+		c.Burst = DefaultRetryBurst
+	}
+	if c.BackoffBase <= 0 {
+		c.BackoffBase = DefaultBackoffBase
+	}
+	if c.BackoffMax <= 0 {
+		c.BackoffMax = DefaultBackoffMax
+	}
+	return &RetryBudget{config: c, random: random, tokens: c.Burst}
+}
+
+// AddFresh counts an attempt that is not a retry.
+func (b *RetryBudget) AddFresh() { b.tokens = min(b.tokens+b.config.Ratio, b.config.Burst) }
+
+// Take reports whether a retry is allowed and counts it.
+func (b *RetryBudget) Take(now time.Time) bool {
+	if elapsed := now.Sub(b.filled); !b.filled.IsZero() && elapsed > 0 {
+		b.tokens = min(b.tokens+b.config.PerSecond*elapsed.Seconds(), b.config.Burst)
+	}
+	if b.filled.IsZero() || now.After(b.filled) {
+		b.filled = now
+	}
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
+
+// Backoff returns the time to wait before a retry; attempt is 1 for the first retry. It doubles with each attempt up to
+// the maximum and is drawn from the upper half of that range, so that retries neither come together nor come at once.
+func (b *RetryBudget) Backoff(attempt int) time.Duration {
+	d := b.config.BackoffBase
+	for i := 1; i < attempt && d < b.config.BackoffMax; i++ {
+		d *= 2
+	}
+	d = min(d, b.config.BackoffMax)
+	return d/2 + time.Duration(b.random.Int64N(int64(d/2)+1))
+}
--- /dev/null
+++ b/core/coordination/endpoint/use.go
@@ -0,0 +1,251 @@
+package endpoint
+
+import (
+	"net/netip"
+	"time"
+)
+
+// Choose returns the endpoint that takes the next work of a flow without a pin: the one with the fewest used slots in
+// proportion to its window, of these the one with the least work done, of these a random one. exclude is left out, for
+// retries; it may be invalid. It returns false if no endpoint has a free slot and room for a pinned flow.
+func (s *Set) Choose(now time.Time, exclude netip.AddrPort) (netip.AddrPort, bool) {
+	s.advance(now)
+	return s.least(exclude, (*state).fill, func(t *state) bool { return t.hasFreeSlot() && t.hasFreeConnection() })
+}
+
+// ChooseFeed returns the endpoint that takes a feed, which needs no slot: the one with the fewest pinned flows in
+// proportion to its connections, with ties as in Choose. It returns false if no endpoint has room.
+func (s *Set) ChooseFeed(now time.Time, exclude netip.AddrPort) (netip.AddrPort, bool) {
+	s.advance(now)
+	fill := func(t *state) float64 { return float64(t.pins) / float64(t.entry.Connections) }
+	return s.least(exclude, fill, func(t *state) bool { return t.isUsable() && t.hasFreeConnection() })
+}
+
+func (s *Set) least(exclude netip.AddrPort, fill func(*state) float64, allow func(*state) bool) (netip.AddrPort, bool) {
+	var best *state
+	ties := 0
+	var bestFill float64
+	for _, t := range s.states {
+		if t.entry.Address == exclude || !allow(t) {
+			continue
+		}
+		f := fill(t)
+		switch {
+		case best == nil || f < bestFill || f == bestFill && t.work() < best.work():
+			best, bestFill, ties = t, f, 1
+		case f == bestFill && t.work() == best.work():
+			// Reservoir sampling gives each of the tied endpoints the same probability.
+			ties++
+			if s.random.IntN(ties) == 0 {
+				best = t
+			}
+		}
+	}
+	if best == nil {
+		return netip.AddrPort{}, false
+	}
+	return best.entry.Address, true
+}
+
+// CanAcquire reports whether an endpoint has a free slot and takes new work. It reflects the time of the last call with
+// a time.
+func (s *Set) CanAcquire(address netip.AddrPort) bool {
+	t := s.byName[address]
+	return t != nil && t.hasFreeSlot()
+}
+
+// AnyFree reports whether Choose would find an endpoint. It reflects the time of the last call with a time.
+func (s *Set) AnyFree() bool {
+	for _, t := range s.states {
+		if t.hasFreeSlot() && t.hasFreeConnection() {
+			return true
+		}
+	}
+	return false
+}
+
+// FreeSlots returns the number of slots that new work may take now.
+func (s *Set) FreeSlots() int {
+	n := 0
+	for _, t := range s.states {
+		if t.isUsable() {
+			n += max(0, t.limit()-t.used)
+		}
+	}
+	return n
+}
+
+// IsUsable reports whether an endpoint may take new work once it has a free slot. Flows that are pinned to an endpoint
+// that is not usable move.
+func (s *Set) IsUsable(address netip.AddrPort) bool {
+	t := s.byName[address]
+	return t != nil && t.isUsable()
+}
+
+// Acquire takes a slot of an endpoint, or returns false if CanAcquire does.
+func (s *Set) Acquire(now time.Time, address netip.AddrPort) bool {
+	s.advance(now)
+	t := s.byName[address]
+	if t == nil || !t.hasFreeSlot() {
+		return false
+	}
+	t.used++
+	t.recentWork++
+	return true
+}
+
+// Release gives back a slot that Acquire took and adapts the endpoint's window to the outcome. It returns false if the
+// endpoint has no slot in use, which is a fault of the caller.
+func (s *Set) Release(now time.Time, address netip.AddrPort, o Outcome) bool {
+	s.advance(now)
+	t := s.byName[address]
+	if t == nil || t.used == 0 {
+		return false
+	}
+	t.used--
+	t.settle(now, o, s.config.SlowStartStep)
+	if t.failures >= s.config.EjectAfter {
+		s.eject(now, t)
+	}
+	if !t.isListed {
+		s.dropUnused()
+	}
+	return true
+}
+
+// Pin counts a flow that stays on an endpoint. It returns false if the endpoint takes no new work or has reached its
+// limit of connections.
+func (s *Set) Pin(address netip.AddrPort) bool {
+	t := s.byName[address]
+	if t == nil || !t.isUsable() || !t.hasFreeConnection() {
+		return false
+	}
+	t.pins++
+	return true
+}
+
+// Adopt counts a flow that another owner pinned to an endpoint and that this owner takes over. The flow is there
+// already, so the limit of connections does not apply. It returns false if the endpoint is not listed.
+func (s *Set) Adopt(address netip.AddrPort) bool {
+	t := s.byName[address]
+	if t == nil || !t.isListed {
+		return false
+	}
+	t.pins++
+	return true
+}
+
+// Unpin gives back what Pin or Adopt took. It returns false if the endpoint has no pinned flow.
+func (s *Set) Unpin(address netip.AddrPort) bool {
+	t := s.byName[address]
+	if t == nil || t.pins == 0 {
+		return false
+	}
+	t.pins--
+	if !t.isListed {
+		s.dropUnused()
+	}
+	return true
+}
+
+// Up records a verified connection to the backend server of the given incarnation. A restarted backend server starts
+// slowly and has not said yet whether it is leaving.
+func (s *Set) Up(now time.Time, address netip.AddrPort, incarnation uint64) {
+	s.advance(now)
+	t := s.byName[address]
+	if t == nil || !t.isListed {
+		return
+	}
+	if t.incarnation != 0 && t.incarnation != incarnation {
+		t.mark(LeavingReply, false)
+		t.reported = 0
+		t.startSlowly(now)
+	}
+	t.isUp, t.incarnation = true, incarnation
+}
+
+// Down records that the connection is lost. It counts as one failure, however many attempts were running; these are
+// released with OutcomeLost.
+func (s *Set) Down(now time.Time, address netip.AddrPort) {
+	s.advance(now)
+	t := s.byName[address]
+	if t == nil || !t.isUp {
+		return
+	}
+	t.isUp = false
+	t.fail(now)
+	if t.failures >= s.config.EjectAfter {
+		s.eject(now, t)
+	}
+}
+
+// Observe records what a backend server says about itself in a reply: its slots in use, and whether it is leaving. It
+// returns true if the endpoint is leaving since this call.
+func (s *Set) Observe(now time.Time, address netip.AddrPort, busy int, leaving bool) bool {
+	t := s.byName[address]
+	if t != nil {
+		t.reported = max(0, busy)
+	}
+	return s.MarkLeaving(now, address, LeavingReply, leaving)
+}
+
+// MarkLeaving records that one source says that an endpoint is leaving, or no longer says so. It returns true if the
+// endpoint is leaving since this call.
+func (s *Set) MarkLeaving(now time.Time, address netip.AddrPort, from LeavingSource, leaving bool) bool {
+	s.advance(now)
+	t := s.byName[address]
+	if t == nil || !t.isListed {
+		return false
+	}
+	wasLeaving := t.leaving != 0
+	t.mark(from, leaving)
+	return !wasLeaving && t.leaving != 0
+}
+
+// MarkHost records the leaving mark of a host from the host list for all endpoints on it, and returns those that are
+// leaving since this call.
+func (s *Set) MarkHost(now time.Time, host netip.Addr, leaving bool) []netip.AddrPort {
+	var marked []netip.AddrPort
+	for _, t := range s.states {
+		if t.entry.Address.Addr() == host && s.MarkLeaving(now, t.entry.Address, LeavingHost, leaving) {
+			marked = append(marked, t.entry.Address)
+		}
+	}
+	return marked
+}
+
+// Status is the state of one endpoint, for metrics and tests.
+type Status struct {
+	Address   netip.AddrPort
+	Used      int // slots
+	Limit     int // slots that may be used now
+	Pins      int // flows
+	WorkDone  uint64
+	Reported  int // slots
+	IsUp      bool
+	IsEjected bool
+	Leaving   LeavingSource
+}
+
+// StatusOf returns the state of an endpoint, and false if it is not listed and has no slot or pin left.
+func (s *Set) StatusOf(address netip.AddrPort) (Status, bool) {
+	t := s.byName[address]
+	if t == nil {
+		return Status{}, false
+	}
+	return Status{
+		Address: address, Used: t.used, Limit: t.limit(), Pins: t.pins, WorkDone: t.workDone, Reported: t.reported,
+		IsUp: t.isUp, IsEjected: t.isEjected, Leaving: t.leaving,
+	}, true
+}
+
+// Addresses returns the listed endpoints in the order of their addition.
+func (s *Set) Addresses() []netip.AddrPort {
+	var addresses []netip.AddrPort
+	for _, t := range s.states {
+		if t.isListed {
+			addresses = append(addresses, t.entry.Address)
+		}
+	}
+	return addresses
+}
