--- /dev/null
+++ b/io/protocol/wire/packet.go
@@ -0,0 +1,188 @@
+package wire
+
+import (
+	"math"
+
+	"cornellb/core/state/packet"
+)
+
+// Field numbers of Packet.
+const (
+	packetKind       = 1
+	packetFlow       = 2
+	packetTicket     = 3
+	packetRequest    = 4
+	packetClass      = 5
+	packetCustomer   = 6
+	packetIdempotent = 7
+	packetTimeout    = 8
+	packetReason     = 9
+	packetPayload    = 10
+	packetSegment    = 11
+	packetSegments   = 12
+	packetSize       = 13
+	packetDigest     = 14
+	packetSequence   = 15
+	packetRetryAfter = 16
+	packetFeed       = 17
+)
+
+// AppendPacket appends the encoded packet to dst and returns the extended slice.
+func AppendPacket(dst []byte, p *packet.Packet) []byte {
+	dst = appendUint(dst, packetKind, uint64(p.Kind))
+	dst = appendFlow(dst, packetFlow, p.Flow)
+	dst = appendBytes(dst, packetTicket, p.Ticket)
+	dst = appendUint(dst, packetRequest, p.Request)
+	dst = appendUint(dst, packetClass, uint64(p.Class))
+	dst = appendString(dst, packetCustomer, p.Customer)
+	dst = appendBool(dst, packetIdempotent, p.Idempotent)
+	dst = appendUint(dst, packetTimeout, microseconds(p.Timeout))
+	dst = appendUint(dst, packetReason, uint64(p.Reason))
+	dst = appendBytes(dst, packetPayload, p.Payload)
+	dst = appendUint(dst, packetSegment, uint64(p.Segment))
+	dst = appendUint(dst, packetSegments, uint64(p.Segments))
+	dst = appendUint(dst, packetSize, uint64(p.Size))
+	dst = appendFixed64(dst, packetDigest, p.Digest)
+	dst = appendUint(dst, packetSequence, p.Sequence)
+	dst = appendUint(dst, packetRetryAfter, microseconds(p.RetryAfter))
+	return appendString(dst, packetFeed, p.Feed)
+}
+
+// DecodePacket overwrites p with the decoded packet. The ticket and the payload alias b. A packet without a kind is
+// refused. The error is a *DecodeError; p is not usable then.
+func (d *Decoder) DecodePacket(b []byte, p *packet.Packet) error {
+	*p = packet.Packet{}
+	if len(b) > packet.MaxDatagramBytes {
+		return &DecodeError{Message: "Packet", Reason: ReasonTooLong}
+	}
+	r := reader{rest: b}
+	for r.next() {
+		d.packetField(&r, p)
+	}
+	if p.Kind == packet.KindInvalid {
+		r.fail("kind", ReasonOutOfRange)
+	}
+	return r.err("Packet")
+}
+
+func (d *Decoder) packetField(r *reader, p *packet.Packet) {
+	switch r.key {
+	case packetKind<<3 | varint:
+		p.Kind = packet.Kind(r.enum("kind", uint8(packet.KindCount)))
+	case packetFlow<<3 | bytes:
+		p.Flow = r.flow("flow")
+	case packetTicket<<3 | bytes:
+		p.Ticket = r.bytes("ticket", MaxTicketBytes)
+	case packetRequest<<3 | varint:
+		p.Request = r.number
+	case packetClass<<3 | varint:
+		p.Class = packet.Class(r.enum("class", uint8(packet.ClassCount)))
+	case packetCustomer<<3 | bytes:
+		p.Customer = r.name("customer", d.names)
+	case packetIdempotent<<3 | varint:
+		p.Idempotent = r.bool()
+	case packetTimeout<<3 | varint:
+		p.Timeout = r.duration("timeout_microseconds")
+	case packetReason<<3 | varint:
+		p.Reason = packet.Reason(r.enum("reason", uint8(packet.ReasonCount)))
+	case packetPayload<<3 | bytes:
+		p.Payload = r.bytes("payload", packet.MaxPayloadBytes)
+	default:
+		d.rarePacketField(r, p)
+	}
+}
+
+// rarePacketField handles the fields of answers and feeds.
+func (d *Decoder) rarePacketField(r *reader, p *packet.Packet) {
+	switch r.key {
+	case packetSegment<<3 | varint:
+		p.Segment = r.uint32("segment", MaxSegments)
+	case packetSegments<<3 | varint:
+		p.Segments = r.uint32("segments", MaxSegments)
+	case packetSize<<3 | varint:
+		p.Size = r.uint32("size", packet.MaxAnswerBytes)
+	case packetDigest<<3 | fixed64:
+		p.Digest = r.number
+	case packetSequence<<3 | varint:
+		p.Sequence = r.number
+	case packetRetryAfter<<3 | varint:
+		p.RetryAfter = r.duration("retry_after_microseconds")
+	case packetFeed<<3 | bytes:
+		p.Feed = r.name("feed", d.names)
+	}
+}
+
+// Field numbers of Envelope and Forward.
+const (
+	envelopeCaller  = 1
+	envelopeService = 2
+	envelopePacket  = 3
+	forwardHops     = 4
+)
+
+// AppendEnvelope appends the encoded envelope to dst and returns the extended slice.
+func AppendEnvelope(dst []byte, e *packet.Envelope) []byte {
+	dst = appendAddress(dst, envelopeCaller, e.Caller)
+	dst = appendAddress(dst, envelopeService, e.Service)
+	return appendBytes(dst, envelopePacket, e.Packet)
+}
+
+// DecodeEnvelope overwrites e with the decoded envelope. The packet aliases b and is not decoded. Both addresses are
+// required. The error is a *DecodeError; e is not usable then.
+func (d *Decoder) DecodeEnvelope(b []byte, e *packet.Envelope) error {
+	*e = packet.Envelope{}
+	if len(b) > packet.MaxDatagramBytes+MaxEnvelopeOverheadBytes {
+		return &DecodeError{Message: "Envelope", Reason: ReasonTooLong}
+	}
+	r := reader{rest: b}
+	for r.next() {
+		envelopeField(&r, e)
+	}
+	requireAddresses(&r, e)
+	return r.err("Envelope")
+}
+
+func envelopeField(r *reader, e *packet.Envelope) {
+	switch r.key {
+	case envelopeCaller<<3 | bytes:
+		e.Caller = r.address("caller")
+	case envelopeService<<3 | bytes:
+		e.Service = r.address("service")
+	case envelopePacket<<3 | bytes:
+		e.Packet = r.bytes("packet", packet.MaxDatagramBytes)
+	}
+}
+
+func requireAddresses(r *reader, e *packet.Envelope) {
+	if !e.Caller.IsValid() {
+		r.fail("caller", ReasonLength)
+	}
+	if !e.Service.IsValid() {
+		r.fail("service", ReasonLength)
+	}
+}
+
+// AppendForward appends the encoded forward to dst and returns the extended slice.
+func AppendForward(dst []byte, f *packet.Forward) []byte {
+	dst = AppendEnvelope(dst, &f.Envelope)
+	return appendUint(dst, forwardHops, uint64(f.Hops))
+}
+
+// DecodeForward overwrites f with the decoded forward. The packet aliases b and is not decoded. The error is a
+// *DecodeError; f is not usable then.
+func (d *Decoder) DecodeForward(b []byte, f *packet.Forward) error {
+	*f = packet.Forward{}
+	if len(b) > packet.MaxDatagramBytes+MaxEnvelopeOverheadBytes {
+		return &DecodeError{Message: "Forward", Reason: ReasonTooLong}
+	}
+	r := reader{rest: b}
+	for r.next() {
+		if r.key == forwardHops<<3|varint {
+			f.Hops = uint8(r.uint32("hops", packet.MaxHops) & math.MaxUint8)
+			continue
+		}
+		envelopeField(&r, &f.Envelope)
+	}
+	requireAddresses(&r, &f.Envelope)
+	return r.err("Forward")
+}
--- /dev/null
+++ b/io/protocol/wire/race_test.go
@@ -0,0 +1,5 @@
+//go:build race
+
+package wire
+
+const raceEnabled = true
--- /dev/null
+++ b/io/protocol/wire/ticket.go
@@ -0,0 +1,201 @@
+package wire
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"hash"
+	"math"
+	"slices"
+	"sync"
+	"time"
+
+	"cornellb/core/state/flow"
+	"cornellb/core/state/member"
+	"cornellb/core/state/packet"
+)
+
+// Field numbers of Ticket.
+const (
+	ticketFlow     = 1
+	ticketService  = 2
+	ticketCustomer = 3
+	ticketClass    = 4
+	ticketPool     = 5
+	ticketDomain   = 6
+	ticketGroup    = 7
+	ticketOwner    = 8
+	ticketEndpoint = 9
+	ticketIssuedAt = 10
+)
+
+const (
+	macBytes          = 16
+	ticketHeaderBytes = 1 + macBytes // key ID and authentication code
+	minSecretBytes    = 16
+	typicalTicket     = 200
+	// maxIssuedAt is the last second of the year 9999.
+	maxIssuedAt = 253402300799
+)
+
+// AppendTicket appends the encoded ticket message, without key ID and authentication code.
+func AppendTicket(dst []byte, t *flow.Ticket) []byte {
+	dst = appendFlow(dst, ticketFlow, t.Flow)
+	dst = appendString(dst, ticketService, t.Service)
+	dst = appendString(dst, ticketCustomer, t.Customer)
+	dst = appendUint(dst, ticketClass, uint64(t.Class))
+	dst = appendString(dst, ticketPool, t.Shard.Pool)
+	dst = appendString(dst, ticketDomain, t.Shard.FailureDomain)
+	dst = appendUint(dst, ticketGroup, uint64(t.Shard.Group))
+	dst = appendFixed64(dst, ticketOwner, uint64(t.Owner))
+	dst = appendAddress(dst, ticketEndpoint, t.Endpoint)
+	return appendUint(dst, ticketIssuedAt, uint64(max(t.IssuedAt.Unix(), 0)))
+}
+
+// DecodeTicket overwrites t with the decoded ticket message, without any check of its origin. The error is a
+// *DecodeError; t is not usable then.
+func (d *Decoder) DecodeTicket(b []byte, t *flow.Ticket) error {
+	*t = flow.Ticket{}
+	r := reader{rest: b}
+	for r.next() {
+		d.ticketField(&r, t)
+	}
+	return r.err("Ticket")
+}
+
+func (d *Decoder) ticketField(r *reader, t *flow.Ticket) {
+	switch r.key {
+	case ticketFlow<<3 | bytes:
+		t.Flow = r.flow("flow")
+	case ticketService<<3 | bytes:
+		t.Service = r.name("service", d.names)
+	case ticketCustomer<<3 | bytes:
+		t.Customer = r.name("customer", d.names)
+	case ticketClass<<3 | varint:
+		t.Class = packet.Class(r.enum("class", uint8(packet.ClassCount)))
+	case ticketPool<<3 | bytes:
+		t.Shard.Pool = r.name("pool", d.names)
+	case ticketDomain<<3 | bytes:
+		t.Shard.FailureDomain = r.name("failure_domain", d.names)
+	case ticketGroup<<3 | varint:
+		t.Shard.Group = r.uint32("group", math.MaxUint32)
+	case ticketOwner<<3 | fixed64:
+		t.Owner = member.Incarnation(r.number)
+	case ticketEndpoint<<3 | bytes:
+		t.Endpoint = r.address("endpoint")
+	case ticketIssuedAt<<3 | varint:
+		t.IssuedAt = r.seconds("issued_at_seconds")
+	}
+}
+
+// seconds returns a Unix time. Zero stands for the zero time, which encoders leave out.
+func (r *reader) seconds(field string) time.Time {
+	if r.number > maxIssuedAt {
+		r.fail(field, ReasonOutOfRange)
+	}
+	if r.number == 0 || r.reason != "" {
+		return time.Time{}
+	}
+	return time.Unix(int64(r.number), 0).UTC()
+}
+
+// Key authenticates tickets. ID is sent in each ticket, so that keys can be replaced while old tickets are in use.
+type Key struct {
+	ID     uint8
+	Secret []byte // at least 16 bytes
+}
+
+// TicketCodec seals and opens tickets. It is safe for concurrent use.
+type TicketCodec struct {
+	keys []*ticketKey
+}
+
+type ticketKey struct {
+	id     uint8
+	states sync.Pool // of *ticketState
+}
+
+// ticketState is what one call of Seal or Open needs. Pooling it saves the key schedule of HMAC and all allocations.
+type ticketState struct {
+	hash    hash.Hash
+	id      [1]byte
+	sum     [sha256.Size]byte
+	decoder *Decoder
+}
+
+// NewTicketCodec returns a codec that seals with the first key and opens with all keys. The error is a *KeyError.
+func NewTicketCodec(keys []Key) (*TicketCodec, error) {
+	if len(keys) == 0 {
+		return nil, &KeyError{Reason: "no key given"}
+	}
+	c := &TicketCodec{}
+	for _, k := range keys {
+		if len(k.Secret) < minSecretBytes {
+			return nil, &KeyError{ID: k.ID, Reason: "secret is shorter than 16 bytes"}
+		}
+		if c.key(k.ID) != nil {
+			return nil, &KeyError{ID: k.ID, Reason: "ID is used twice"}
+		}
+		c.keys = append(c.keys, newTicketKey(k))
+	}
+	return c, nil
+}
+
+func newTicketKey(k Key) *ticketKey {
+	secret := slices.Clone(k.Secret)
+	t := &ticketKey{id: k.ID}
+	t.states.New = func() any {
+		return &ticketState{hash: hmac.New(sha256.New, secret), id: [1]byte{k.ID}, decoder: NewDecoder()}
+	}
+	return t
+}
+
+func (c *TicketCodec) key(id uint8) *ticketKey {
+	for _, k := range c.keys {
+		if k.id == id {
+			return k
+		}
+	}
+	return nil
+}
+
+// mac returns the authentication code of an encoded ticket message. It is valid until the next call.
+func (s *ticketState) mac(body []byte) []byte {
+	s.hash.Reset()
+	s.hash.Write(s.id[:])
+	s.hash.Write(body)
+	return s.hash.Sum(s.sum[:0])[:macBytes]
+}
+
+// Seal returns the encoded, authenticated ticket.
+func (c *TicketCodec) Seal(t *flow.Ticket) []byte {
+	k := c.keys[0]
+	b := make([]byte, ticketHeaderBytes, typicalTicket)
+	b[0] = k.id
+	b = AppendTicket(b, t)
+	s := k.states.Get().(*ticketState)
+	copy(b[1:], s.mac(b[ticketHeaderBytes:]))
+	k.states.Put(s)
+	return b
+}
+
+// Open checks the authentication code and overwrites t with the decoded ticket, which does not alias encoded. The error
+// is a *DecodeError; t is not changed unless the code is right.
+func (c *TicketCodec) Open(encoded []byte, t *flow.Ticket) error {
+	if len(encoded) < ticketHeaderBytes {
+		return &DecodeError{Message: "Ticket", Reason: ReasonMalformed}
+	}
+	if len(encoded) > MaxTicketBytes {
+		return &DecodeError{Message: "Ticket", Reason: ReasonTooLong}
+	}
+	k := c.key(encoded[0])
+	if k == nil {
+		return &DecodeError{Message: "Ticket", Reason: ReasonUnknownKey}
+	}
+	s := k.states.Get().(*ticketState)
+	defer k.states.Put(s)
+	body := encoded[ticketHeaderBytes:]
+	if !hmac.Equal(s.mac(body), encoded[1:ticketHeaderBytes]) {
+		return &DecodeError{Message: "Ticket", Reason: ReasonForged}
+	}
+	return s.decoder.DecodeTicket(body, t)
+}
