--- /dev/null
+++ b/core/coordination/balancer/balancer.go
@@ -0,0 +1,310 @@
+// Package balancer is the decision core of one balancer: it routes caller packets to the owners of their flows, runs
+// the pool shards that this process owns, and moves flows when the tables or the membership change.
+//
+// # Usage
+//
+// Create a Balancer with New, then pass events in: SetTables, SetView, HandleCaller, HandleForward, HandleBackend,
+// BackendUp, BackendDown, HandleHandover, HandoverDone and Tick. Messages go out through the interfaces in Outputs. The
+// package starts no goroutines; all methods are safe for concurrent use. The path of a packet that is passed on reads an
+// immutable routing plan and takes no lock.
+package balancer
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"cornellb/core/coordination/dispatch"
+	"cornellb/core/coordination/routing"
+	"cornellb/core/state/flow"
+	"cornellb/core/state/member"
+	"cornellb/core/state/metric"
+	"cornellb/core/state/packet"
+	"cornellb/core/state/table"
+)
+
+// Clock tells the time.
+type Clock interface {
+	Now() time.Time
+}
+
+// PeerSender sends datagrams to other balancers. It does not block and may lose them.
+type PeerSender interface {
+	SendForward(to member.Host, f *packet.Forward)
+}
+
+// TicketCodec encodes and authenticates tickets.
+type TicketCodec interface {
+	Seal(t *flow.Ticket) []byte
+	Open(encoded []byte, t *flow.Ticket) error
+}
+
+// Outputs are the interfaces through which a balancer acts.
+type Outputs struct {
+	Caller   dispatch.CallerSender
+	Backend  dispatch.BackendSender
+	Handover dispatch.HandoverSender
+	Peer     PeerSender
+	Tickets  TicketCodec
+	Recorder dispatch.Recorder
+}
+
+// Config holds the settings of a balancer.
+type Config struct {
+	ShardEndpoints int // largest number of endpoints in a pool shard
+	PreferLocal    bool
+	Dispatch       dispatch.Config
+	Seed           uint64 // of the random source
+}
+
+// Balancer is the decision core of one process.
+type Balancer struct {
+	self   member.Incarnation
+	config Config
+	clock  Clock
+	out    Outputs
+	plan   atomic.Pointer[routing.Plan]
+	serial atomic.Uint64
+
+	mu       sync.RWMutex // guards the maps; each shard has its own lock
+	shards   map[flow.ShardKey]*dispatch.Shard
+	byNumber map[uint64]*dispatch.Shard
+	number   uint64
+	received map[handoverStream]uint64 // highest handover number taken from each stream
+	leaving  map[netip.AddrPort]bool   // endpoints on hosts that the platform lists as leaving
+	random   *rand.Rand
+}
+
+type handoverStream struct {
+	from   member.Incarnation
+	stream uint64
+}
+
+// New returns a balancer without tables and with itself as the only member.
+func New(self member.Host, config Config, clock Clock, out Outputs) *Balancer {
+	b := &Balancer{
+		self:     self.Incarnation,
+		config:   config,
+		clock:    clock,
+		out:      out,
+		shards:   make(map[flow.ShardKey]*dispatch.Shard),
+		byNumber: make(map[uint64]*dispatch.Shard),
+		received: make(map[handoverStream]uint64),
+		leaving:  make(map[netip.AddrPort]bool),
+		random:   rand.New(rand.NewPCG(config.Seed, uint64(self.Incarnation))),
+	}
+	layout := routing.NewLayout(table.NewIndex(&table.Tables{}), config.ShardEndpoints)
+	b.plan.Store(routing.NewPlan(layout, member.NewView(0, self, []member.Host{self})))
+	return b
+}
+
+// Version returns the table version in force.
+func (b *Balancer) Version() uint64 { return b.plan.Load().Layout.Index.Tables.Version }
+
+// Plan returns the present routing plan.
+func (b *Balancer) Plan() *routing.Plan { return b.plan.Load() }
+
+// SetTables puts a table version in force. A version that is not higher than the present one is ignored.
+func (b *Balancer) SetTables(x *table.Index) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	old := b.plan.Load()
+	if x.Tables.Version <= old.Layout.Index.Tables.Version {
+		return false
+	}
+	b.plan.Store(routing.NewPlan(routing.NewLayout(x, b.config.ShardEndpoints), old.View))
+	b.arrange()
+	return true
+}
+
+// SetView takes a new membership view.
+func (b *Balancer) SetView(v *member.View) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.plan.Store(routing.NewPlan(b.plan.Load().Layout, v))
+	b.arrange()
+}
+
+// arrange brings the local shards in line with the plan: it creates the shards that this process owns and moves the
+// flows of the others. The caller holds the lock.
+func (b *Balancer) arrange() {
+	now := b.clock.Now()
+	plan := b.plan.Load()
+	for _, s := range plan.Layout.Shards {
+		owner, ok := plan.Owner(s)
+		if ok && owner.Incarnation == b.self {
+			b.shard(s.Key, s.Service)
+		}
+	}
+	for key, sh := range b.shards {
+		b.arrangeShard(now, plan, key, sh)
+	}
+}
+
+func (b *Balancer) arrangeShard(now time.Time, plan *routing.Plan, key flow.ShardKey, sh *dispatch.Shard) {
+	sh.AbandonReceivers(func(i member.Incarnation) bool {
+		h, known := plan.View.Lookup(i)
+		return !known || !h.IsReachable()
+	})
+	if key.Pool != "" && b.config.Dispatch.Mode != dispatch.ModeOwner {
+		b.setEndpoints(now, sh, b.poolEndpoints(plan, key.Pool))
+		sh.Stay()
+		return
+	}
+	s := plan.Layout.Shard(key)
+	if s == nil {
+		b.retireShard(now, plan, key, sh)
+		return
+	}
+	b.setEndpoints(now, sh, s.Endpoints)
+	owner, ok := plan.Owner(s)
+	if !ok || owner.Incarnation == b.self {
+		sh.Stay()
+		return
+	}
+	sh.MoveTo(now, owner, key)
+}
+
+// retireShard moves the flows of a shard that the tables no longer have to another shard of the pool. Without one the
+// flows stay until they expire, and their requests are refused.
+func (b *Balancer) retireShard(now time.Time, plan *routing.Plan, key flow.ShardKey, sh *dispatch.Shard) {
+	b.setEndpoints(now, sh, nil)
+	target := plan.Choose(key.Pool, packet.FlowID{}, 0)
+	if target == nil {
+		sh.Stay()
+		return
+	}
+	if owner, ok := plan.Owner(target); ok {
+		sh.MoveTo(now, owner, target.Key)
+	}
+}
+
+func (b *Balancer) setEndpoints(now time.Time, sh *dispatch.Shard, endpoints []table.Endpoint) {
+	sh.SetEndpoints(now, endpoints)
+	for _, e := range endpoints {
+		if b.leaving[e.Address] {
+			sh.MarkLeaving(now, e.Address)
+		}
+	}
+}
+
+func (b *Balancer) poolEndpoints(plan *routing.Plan, pool string) []table.Endpoint {
+	p := plan.Layout.Index.PoolOf(pool)
+	if p == nil {
+		return nil
+	}
+	return p.Endpoints
+}
+
+// shard returns the local shard of a key and creates it if needed. The caller holds the lock.
+func (b *Balancer) shard(key flow.ShardKey, service string) *dispatch.Shard {
+	if sh := b.shards[key]; sh != nil {
+		return sh
+	}
+	b.number++
+	random := rand.New(rand.NewPCG(b.random.Uint64(), b.number))
+	sh := dispatch.NewShard(key, service, b.number, b.self, &b.serial, b.config.Dispatch, random, dispatch.Outputs{
+		Caller: b.out.Caller, Backend: b.out.Backend, Handover: b.out.Handover, Tickets: b.out.Tickets,
+		Recorder: b.out.Recorder,
+	})
+	b.shards[key] = sh
+	b.byNumber[b.number] = sh
+	return sh
+}
+
+// SetLeavingEndpoints takes the addresses of endpoints on hosts that the platform lists as leaving.
+func (b *Balancer) SetLeavingEndpoints(addresses []netip.AddrPort) {
+	now := b.clock.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	clear(b.leaving)
+	for _, a := range addresses {
+		b.leaving[a] = true
+		for _, sh := range b.shards {
+			sh.MarkLeaving(now, a)
+		}
+	}
+}
+
+// Tick runs everything that depends on time alone. Call it every 50 ms or so.
+func (b *Balancer) Tick() {
+	now := b.clock.Now()
+	for _, sh := range b.localShards() {
+		sh.Tick(now)
+	}
+	b.closeIdleShards(now)
+}
+
+func (b *Balancer) localShards() []*dispatch.Shard {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	list := make([]*dispatch.Shard, 0, len(b.shards))
+	for _, sh := range b.shards {
+		list = append(list, sh)
+	}
+	return list
+}
+
+// closeIdleShards drops shards that this process no longer owns and that have nothing left.
+func (b *Balancer) closeIdleShards(now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	plan := b.plan.Load()
+	for key, sh := range b.shards {
+		if b.owns(plan, key) || !sh.IsIdle() {
+			continue
+		}
+		sh.Close(now)
+		delete(b.shards, key)
+		for n, other := range b.byNumber {
+			if other == sh {
+				delete(b.byNumber, n)
+			}
+		}
+	}
+}
+
+func (b *Balancer) owns(plan *routing.Plan, key flow.ShardKey) bool {
+	if b.config.Dispatch.Mode != dispatch.ModeOwner {
+		return plan.Layout.Pool(key.Pool) != nil
+	}
+	s := plan.Layout.Shard(key)
+	if s == nil {
+		return false
+	}
+	owner, ok := plan.Owner(s)
+	return ok && owner.Incarnation == b.self
+}
+
+// IsDrained reports whether no flow is left at this process.
+func (b *Balancer) IsDrained() bool {
+	for _, sh := range b.localShards() {
+		if !sh.IsIdle() {
+			return false
+		}
+	}
+	return true
+}
+
+// ForceDrain settles all requests in progress, so that the remaining flows can be handed over.
+func (b *Balancer) ForceDrain() {
+	now := b.clock.Now()
+	for _, sh := range b.localShards() {
+		sh.Force(now)
+	}
+}
+
+// Loads returns the load of each local shard.
+func (b *Balancer) Loads() map[flow.ShardKey]dispatch.Load {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	loads := make(map[flow.ShardKey]dispatch.Load, len(b.shards))
+	for key, sh := range b.shards {
+		loads[key] = sh.Load()
+	}
+	return loads
+}
+
+func (b *Balancer) drop(reason string) { b.out.Recorder.Count(metric.Dropped, reason, 1) }
--- /dev/null
+++ b/core/coordination/balancer/events.go
@@ -0,0 +1,106 @@
+package balancer
+
+import (
+	"fmt"
+	"net/netip"
+
+	"cornellb/core/coordination/dispatch"
+	"cornellb/core/state/flow"
+	"cornellb/core/state/member"
+	"cornellb/core/state/packet"
+)
+
+// NotReceiverError reports a handover that is meant for another incarnation, or whose target shard is unknown here.
+type NotReceiverError struct {
+	To    member.Incarnation
+	Shard flow.ShardKey
+}
+
+func (e *NotReceiverError) Error() string {
+	return fmt.Sprintf("handover for incarnation %x, shard %s does not belong here", uint64(e.To), e.Shard)
+}
+
+// HandleHandover takes flows from their former owner. A nil error confirms that this process holds them now.
+func (b *Balancer) HandleHandover(h *flow.Handover) error {
+	if h.To != b.self {
+		return &NotReceiverError{To: h.To, Shard: h.Shard}
+	}
+	sh, err := b.handoverShard(h)
+	if err != nil {
+		return err
+	}
+	b.mu.Lock()
+	stream := handoverStream{h.From, h.Stream}
+	isNew := h.Number > b.received[stream]
+	if isNew {
+		b.received[stream] = h.Number
+	}
+	b.mu.Unlock()
+	if isNew {
+		sh.HandleHandover(b.clock.Now(), h)
+	}
+	return nil
+}
+
+func (b *Balancer) handoverShard(h *flow.Handover) (*dispatch.Shard, error) {
+	b.mu.RLock()
+	sh := b.shards[h.Shard]
+	b.mu.RUnlock()
+	if sh != nil {
+		return sh, nil
+	}
+	s := b.plan.Load().Layout.Shard(h.Shard)
+	if s == nil {
+		return nil, &NotReceiverError{To: h.To, Shard: h.Shard}
+	}
+	return b.localShard(s.Key, s.Service), nil
+}
+
+// HandoverDone tells the result of a handover that this process sent.
+func (b *Balancer) HandoverDone(h *flow.Handover, err error) {
+	if sh := b.shardByNumber(dispatch.ShardNumber(h.Stream)); sh != nil {
+		sh.HandoverDone(b.clock.Now(), h, err)
+	}
+}
+
+func (b *Balancer) shardByNumber(number uint64) *dispatch.Shard {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	return b.byNumber[number]
+}
+
+// HandleBackend takes a frame from an endpoint.
+func (b *Balancer) HandleBackend(address netip.AddrPort, m *packet.Backend) {
+	now := b.clock.Now()
+	number := m.Attempt
+	if m.Kind == packet.BackendItem {
+		number = m.Stream
+	}
+	if m.Kind != packet.BackendPong {
+		if sh := b.shardByNumber(dispatch.ShardNumber(number)); sh != nil {
+			sh.HandleBackend(now, address, m)
+			return
+		}
+		b.drop("late_reply")
+		return
+	}
+	for _, sh := range b.localShards() {
+		sh.HandleBackend(now, address, m)
+	}
+}
+
+// BackendUp tells that a connection to an endpoint stands and that its backend server has confirmed the service.
+func (b *Balancer) BackendUp(address netip.AddrPort, service string, incarnation uint64, busy int, leaving bool) {
+	now := b.clock.Now()
+	for _, sh := range b.localShards() {
+		sh.BackendUp(now, address, service, incarnation, busy, leaving)
+	}
+}
+
+// BackendDown tells that the connection to an endpoint broke. The frames in unsent were not passed to the kernel.
+func (b *Balancer) BackendDown(address netip.AddrPort, unsent []*packet.Backend) {
+	now := b.clock.Now()
+	for _, sh := range b.localShards() {
+		sh.BackendDown(now, address, unsent)
+	}
+}
--- /dev/null
+++ b/core/coordination/dispatch/attempts.go
@@ -0,0 +1,308 @@
+package dispatch
+
+import (
+	"net/netip"
+	"time"
+
+	"cornellb/core/coordination/endpoint"
+	"cornellb/core/state/flow"
+	"cornellb/core/state/metric"
+	"cornellb/core/state/packet"
+)
+
+// attempt is one try of a request at an endpoint.
+type attempt struct {
+	number    uint64
+	flow      packet.FlowID
+	request   uint64
+	endpoint  netip.AddrPort
+	pending   *pending
+	sentAt    time.Time
+	cancelled bool // the backend server was asked to stop it
+	settled   bool // the request has its outcome; only the slot is still held
+}
+
+// dispatch sends waiting requests as long as slots are free.
+func (s *Shard) dispatch(now time.Time) {
+	for {
+		it, expired := s.queue.Pop(now, s.canRun, s.endpoints.AnyFree())
+		for _, e := range expired {
+			s.refuseQueued(now, e, packet.ReasonDeadline, 0)
+		}
+		if it == nil {
+			return
+		}
+		key := requestKey{it.Flow, it.Request}
+		pe := s.queued[key]
+		delete(s.queued, key)
+		f := s.flows[it.Flow]
+		if pe == nil || f == nil {
+			s.violation("queue_mismatch")
+			continue
+		}
+		r := f.window.Find(it.Request)
+		if r == nil {
+			s.violation("queued_without_record")
+			continue
+		}
+		s.send(now, f, r, pe)
+	}
+}
+
+// canRun reports whether an item that is pinned to an endpoint can be sent now. A pin to an endpoint that serves no
+// more is void, so that any free endpoint will do.
+func (s *Shard) canRun(a netip.AddrPort) bool {
+	if s.endpoints.IsUsable(a) {
+		return s.endpoints.CanAcquire(a)
+	}
+	return s.endpoints.AnyFree()
+}
+
+// send starts an attempt.
+func (s *Shard) send(now time.Time, f *flowState, r *flow.Record, pe *pending) {
+	a, ok := s.selectEndpoint(now, f)
+	if !ok {
+		s.retryLater(now, f, r, pe, packet.ReasonNoEndpoint)
+		return
+	}
+	if r.State == flow.StateSent && !r.Idempotent {
+		s.violation("second_send")
+		return
+	}
+	at := &attempt{
+		number: s.nextNumber(), flow: f.id, request: r.Request, endpoint: a, pending: pe, sentAt: now,
+	}
+	pe.attempts++
+	if !s.endpoints.Acquire(now, a) {
+		s.violation("slot_taken_twice")
+	}
+	s.attempts[at.number] = at
+	err := s.out.Backend.Send(a, &packet.Backend{
+		Kind: packet.BackendRun, Service: s.service, Attempt: at.number, Customer: f.customer, Class: f.class,
+		Idempotent: r.Idempotent, Timeout: pe.item.Deadline.Sub(now), Payload: pe.payload,
+	})
+	if err != nil {
+		delete(s.attempts, at.number)
+		s.endpoints.Release(now, a, endpoint.OutcomeCancelled)
+		s.retryLater(now, f, r, pe, packet.ReasonNoEndpoint)
+		return
+	}
+	r.State = flow.StateSent
+	s.pin(f, a, "dispatch")
+	s.out.Recorder.Observe(metric.QueueTime, f.customer, f.class, now.Sub(pe.item.Enqueued))
+}
+
+// selectEndpoint returns the flow's pin while it serves, else the best endpoint with a free slot.
+func (s *Shard) selectEndpoint(now time.Time, f *flowState) (netip.AddrPort, bool) {
+	if s.config.Mode == ModeHash {
+		return s.chooseByHash(f)
+	}
+	if f.endpoint.IsValid() && s.endpoints.IsUsable(f.endpoint) {
+		return f.endpoint, s.endpoints.CanAcquire(f.endpoint)
+	}
+	return s.endpoints.Choose(now, f.endpoint)
+}
+
+// retryLater puts a request back into the queue if the retry budget and the deadline allow it, else gives it up. The
+// caller has made sure that the request may be tried again.
+func (s *Shard) retryLater(now time.Time, f *flowState, r *flow.Record, pe *pending, reason packet.Reason) {
+	delay := s.budget.Backoff(pe.attempts)
+	if !s.budget.Take(now) {
+		s.giveUp(now, f, r, packet.ReasonRetriesExhausted, flowRetry)
+		return
+	}
+	if !now.Add(delay).Before(pe.item.Deadline) {
+		s.giveUp(now, f, r, reason, flowRetry)
+		return
+	}
+	s.out.Recorder.Count(metric.Retried, reason.String(), 1)
+	it := *pe.item
+	it.Endpoint = f.endpoint
+	pe.item = &it
+	pe.notBefore = now.Add(delay)
+	s.queued[requestKey{it.Flow, it.Request}] = pe
+	s.delayed = append(s.delayed, pe)
+}
+
+// pushDelayed queues the retries whose backoff has passed.
+func (s *Shard) pushDelayed(now time.Time) {
+	waiting := s.delayed[:0]
+	var due []*pending
+	for _, pe := range s.delayed {
+		if s.queued[requestKey{pe.item.Flow, pe.item.Request}] != pe {
+			continue // cancelled
+		}
+		if now.Before(pe.notBefore) {
+			waiting = append(waiting, pe)
+		} else {
+			due = append(due, pe)
+		}
+	}
+	clear(s.delayed[len(waiting):])
+	s.delayed = waiting
+	for _, pe := range due {
+		s.push(now, pe)
+	}
+}
+
+// chooseByHash serves the baseline of consistent hashing. A request whose endpoint has no free slot waits.
+func (s *Shard) chooseByHash(f *flowState) (netip.AddrPort, bool) {
+	a, ok := s.endpoints.ByHash(f.id[:])
+	return a, ok && s.endpoints.CanAcquire(a)
+}
+
+func (s *Shard) takeAttempt(address netip.AddrPort, number uint64) *attempt {
+	a := s.attempts[number]
+	if a == nil || a.endpoint != address {
+		s.drop("late_reply")
+		return nil
+	}
+	delete(s.attempts, number)
+	return a
+}
+
+// target returns the flow and the record of an attempt whose request has no outcome yet.
+func (s *Shard) target(a *attempt) (*flowState, *flow.Record) {
+	f := s.flows[a.flow]
+	if f == nil || a.settled {
+		return nil, nil
+	}
+	r := f.window.Find(a.request)
+	if r == nil || r.State.IsFinal() {
+		return nil, nil
+	}
+	return f, r
+}
+
+func (s *Shard) handleAnswer(now time.Time, address netip.AddrPort, m *packet.Backend) {
+	a := s.takeAttempt(address, m.Attempt)
+	if a == nil {
+		return
+	}
+	s.endpoints.Release(now, address, endpoint.OutcomeAnswered)
+	f, r := s.target(a)
+	if f == nil {
+		s.drop("late_answer")
+		return
+	}
+	s.settle(now, r, flow.StateAnswered)
+	s.keepAnswer(now, f, r, m.Payload)
+	s.out.Recorder.Count(metric.Answered, f.class.String(), 1)
+	s.out.Recorder.Observe(metric.Latency, f.customer, f.class, now.Sub(a.pending.item.Enqueued))
+	s.sendAnswer(f, r, 0)
+}
+
+// handleShed takes the word of the backend server that the attempt was not started.
+func (s *Shard) handleShed(now time.Time, address netip.AddrPort, m *packet.Backend) {
+	a := s.takeAttempt(address, m.Attempt)
+	if a == nil {
+		return
+	}
+	s.endpoints.Release(now, address, endpoint.OutcomeShed)
+	f, r := s.target(a)
+	if f == nil {
+		return
+	}
+	if a.pending.attempts == 1 {
+		r.State = flow.StateQueued // no attempt has started so far
+	}
+	if a.cancelled {
+		s.giveUp(now, f, r, packet.ReasonCancelled, 0)
+		return
+	}
+	s.retryLater(now, f, r, a.pending, packet.ReasonNoEndpoint)
+}
+
+func (s *Shard) handleCancelled(now time.Time, address netip.AddrPort, m *packet.Backend) {
+	a := s.takeAttempt(address, m.Attempt)
+	if a == nil {
+		return
+	}
+	s.endpoints.Release(now, address, endpoint.OutcomeCancelled)
+	f, r := s.target(a)
+	if f == nil {
+		return
+	}
+	if !m.Started && a.pending.attempts == 1 {
+		r.State = flow.StateQueued
+	}
+	s.giveUp(now, f, r, packet.ReasonCancelled, 0)
+}
+
+func (s *Shard) cancelAttempt(a *attempt) {
+	a.cancelled = true
+	// A lost cancellation costs work at the backend server, not correctness.
+	_ = s.out.Backend.Send(a.endpoint, &packet.Backend{
+		Kind: packet.BackendCancel, Service: s.service, Attempt: a.number,
+	})
+}
+
+// failAttempts ends the attempts on a broken connection. Those whose frame was not passed to the kernel have not
+// started; of the others only idempotent requests are tried again.
+func (s *Shard) failAttempts(now time.Time, address netip.AddrPort, unsent []*packet.Backend) {
+	notStarted := make(map[uint64]bool, len(unsent))
+	for _, m := range unsent {
+		if m.Kind == packet.BackendRun {
+			notStarted[m.Attempt] = true
+		}
+	}
+	for number, a := range s.attempts {
+		if a.endpoint != address {
+			continue
+		}
+		delete(s.attempts, number)
+		s.endpoints.Release(now, address, endpoint.OutcomeLost)
+		f, r := s.target(a)
+		if f == nil {
+			continue
+		}
+		if notStarted[number] && a.pending.attempts == 1 {
+			r.State = flow.StateQueued
+		}
+		switch {
+		case a.cancelled:
+			s.giveUp(now, f, r, packet.ReasonCancelled, 0)
+		case r.Idempotent || r.State == flow.StateQueued:
+			s.retryLater(now, f, r, a.pending, packet.ReasonConnectionLost)
+		default:
+			s.settleUnknown(now, f, r, packet.ReasonConnectionLost)
+		}
+	}
+}
+
+// expireAttempts settles requests whose deadline has passed, and frees the slots of attempts that the backend server
+// never answered.
+func (s *Shard) expireAttempts(now time.Time) {
+	for number, a := range s.attempts {
+		if now.Before(a.pending.item.Deadline) {
+			continue
+		}
+		if !a.settled {
+			s.expireAttempt(now, a)
+		}
+		if now.Sub(a.pending.item.Deadline) >= s.config.AttemptGrace {
+			delete(s.attempts, number)
+			s.endpoints.Release(now, a.endpoint, endpoint.OutcomeFailed)
+		}
+	}
+}
+
+func (s *Shard) expireAttempt(now time.Time, a *attempt) {
+	if f, r := s.target(a); f != nil {
+		s.settleUnknown(now, f, r, packet.ReasonTimeout)
+	}
+	a.settled = true
+	if !a.cancelled {
+		s.cancelAttempt(a)
+	}
+}
+
+func (s *Shard) inFlight(address netip.AddrPort) int {
+	n := 0
+	for _, a := range s.attempts {
+		if a.endpoint == address {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/core/coordination/dispatch/feeds.go
@@ -0,0 +1,215 @@
+package dispatch
+
+import (
+	"net/netip"
+	"time"
+
+	"cornellb/core/state/metric"
+	"cornellb/core/state/packet"
+)
+
+// resendBurst is the number of unacknowledged items that are sent again at a time.
+const resendBurst = 16
+
+// feedRetry is the time between attempts to subscribe a feed that has no stream.
+const feedRetry = 200 * time.Millisecond
+
+// feed is an open feed. The backend server numbers the items; the owner keeps those that the caller has not
+// acknowledged.
+type feed struct {
+	name     string
+	acked    uint64 // last item that the caller acknowledged
+	items    []feedItem
+	stream   uint64         // 0 without a subscription
+	endpoint netip.AddrPort // of the subscription
+	sentAt   time.Time      // when the oldest unacknowledged item was sent last
+	retryAt  time.Time
+}
+
+type feedItem struct {
+	sequence uint64
+	payload  []byte
+}
+
+// next returns the number of the item that must come next from the backend server.
+func (d *feed) next() uint64 { return d.acked + uint64(len(d.items)) + 1 }
+
+func (d *feed) acknowledge(sequence uint64) bool {
+	if sequence <= d.acked || sequence >= d.next() {
+		return false
+	}
+	d.items = d.items[sequence-d.acked:]
+	d.acked = sequence
+	return true
+}
+
+// handleSubscribe opens a feed or resumes it at the caller's position.
+func (s *Shard) handleSubscribe(now time.Time, f *flowState, p *packet.Packet) {
+	if p.Sequence == 0 {
+		s.drop("feed_sequence")
+		return
+	}
+	if s.handover.isActive() {
+		s.drop("handover")
+		return
+	}
+	if f.feed != nil && f.feed.name == p.Feed && p.Sequence > f.feed.acked && p.Sequence <= f.feed.next() {
+		f.feed.acknowledge(p.Sequence - 1)
+		s.acknowledgeStream(f)
+		s.sendItems(now, f, len(f.feed.items))
+		return
+	}
+	s.closeFeed(f, true)
+	s.openFeed(now, f, p.Feed, p.Sequence-1)
+}
+
+func (s *Shard) openFeed(now time.Time, f *flowState, name string, acked uint64) {
+	f.feed = &feed{name: name, acked: acked}
+	s.feeds[f.id] = f
+	s.subscribe(now, f)
+}
+
+// subscribe starts a stream for a feed that has none, from the item after the last one received.
+func (s *Shard) subscribe(now time.Time, f *flowState) {
+	d := f.feed
+	d.retryAt = now.Add(feedRetry)
+	a := f.endpoint
+	if !a.IsValid() || !s.endpoints.IsUsable(a) {
+		var ok bool
+		if a, ok = s.endpoints.ChooseFeed(now, f.endpoint); !ok {
+			return
+		}
+	}
+	stream := s.nextNumber()
+	err := s.out.Backend.Send(a, &packet.Backend{
+		Kind: packet.BackendSubscribe, Service: s.service, Stream: stream, Feed: d.name, Sequence: d.next(),
+		Customer: f.customer, Class: f.class,
+	})
+	if err != nil {
+		return
+	}
+	s.pin(f, a, "feed")
+	d.stream, d.endpoint = stream, a
+	s.streams[stream] = f
+}
+
+func (s *Shard) unsubscribe(f *flowState) {
+	d := f.feed
+	if d.stream == 0 {
+		return
+	}
+	_ = s.out.Backend.Send(d.endpoint, &packet.Backend{
+		Kind: packet.BackendUnsubscribe, Service: s.service, Stream: d.stream,
+	})
+	delete(s.streams, d.stream)
+	d.stream = 0
+}
+
+func (s *Shard) closeFeed(f *flowState, tell bool) {
+	if f.feed == nil {
+		return
+	}
+	if tell {
+		s.unsubscribe(f)
+	}
+	delete(s.streams, f.feed.stream)
+	delete(s.feeds, f.id)
+	delete(s.unacked, f.id)
+	f.feed = nil
+}
+
+// handleItem takes the next item of a stream. An item out of order means that the stream is broken: the feed subscribes
+// again from its position.
+func (s *Shard) handleItem(now time.Time, address netip.AddrPort, m *packet.Backend) {
+	f := s.streams[m.Stream]
+	if f == nil || f.feed == nil || f.feed.endpoint != address {
+		s.drop("late_item")
+		return
+	}
+	d := f.feed
+	if m.Sequence != d.next() || len(d.items) >= s.config.FeedWindow {
+		s.drop("item_order")
+		if m.Sequence >= d.next() {
+			s.unsubscribe(f)
+		}
+		return
+	}
+	if len(d.items) == 0 {
+		d.sentAt = now
+	}
+	d.items = append(d.items, feedItem{m.Sequence, append([]byte(nil), m.Payload...)})
+	s.unacked[f.id] = f
+	s.sendItem(f, d.items[len(d.items)-1])
+}
+
+func (s *Shard) sendItem(f *flowState, it feedItem) {
+	s.sendCaller(f, &packet.Packet{
+		Kind: packet.KindItem, Flow: f.id, Feed: f.feed.name, Sequence: it.sequence, Payload: it.payload,
+	})
+}
+
+func (s *Shard) sendItems(now time.Time, f *flowState, limit int) {
+	for i, it := range f.feed.items {
+		if i == limit {
+			break
+		}
+		s.sendItem(f, it)
+	}
+	f.feed.sentAt = now
+}
+
+func (s *Shard) handleItemAck(now time.Time, f *flowState, p *packet.Packet) {
+	if f.feed == nil || !f.feed.acknowledge(p.Sequence) {
+		return
+	}
+	f.feed.sentAt = now
+	if len(f.feed.items) == 0 {
+		delete(s.unacked, f.id)
+	}
+	s.acknowledgeStream(f)
+}
+
+func (s *Shard) acknowledgeStream(f *flowState) {
+	if f.feed.stream == 0 {
+		return
+	}
+	_ = s.out.Backend.Send(f.feed.endpoint, &packet.Backend{
+		Kind: packet.BackendItemAck, Service: s.service, Stream: f.feed.stream, Sequence: f.feed.acked,
+	})
+}
+
+// resendItems sends items again that the caller has not acknowledged in time.
+func (s *Shard) resendItems(now time.Time) {
+	for _, f := range s.unacked {
+		if now.Sub(f.feed.sentAt) >= s.config.FeedResend {
+			s.out.Recorder.Count(metric.Resent, "item", 1)
+			s.sendItems(now, f, resendBurst)
+		}
+	}
+}
+
+// moveFeeds ends the streams of an endpoint and starts them elsewhere, without a gap: each new stream begins after the
+// last item that was received.
+func (s *Shard) moveFeeds(now time.Time, address netip.AddrPort, cause string) {
+	for _, f := range s.feeds {
+		if f.feed.stream == 0 || f.feed.endpoint != address {
+			continue
+		}
+		s.out.Recorder.Count(metric.Repinned, cause, 1)
+		s.unsubscribe(f)
+		s.unpin(f)
+		s.subscribe(now, f)
+	}
+}
+
+// resumeFeeds subscribes feeds that have no stream, for example because no endpoint was connected.
+func (s *Shard) resumeFeeds(now time.Time) {
+	if s.handover.isActive() {
+		return
+	}
+	for _, f := range s.feeds {
+		if f.feed.stream == 0 && !now.Before(f.feed.retryAt) {
+			s.subscribe(now, f)
+		}
+	}
+}
--- /dev/null
+++ b/core/coordination/dispatch/handover.go
@@ -0,0 +1,241 @@
+package dispatch
+
+import (
+	"time"
+
+	"cornellb/core/state/flow"
+	"cornellb/core/state/member"
+	"cornellb/core/state/metric"
+	"cornellb/core/state/packet"
+)
+
+// handoverBatchBytes bounds the estimated size of one handover message, so that a message fits the peer transport.
+const handoverBatchBytes = 256 << 10
+
+// handoverBatchFlows bounds the number of flows in one handover message.
+const handoverBatchFlows = 256
+
+// handoverState is the progress of moving this shard's flows to another owner.
+type handoverState struct {
+	to          member.Host // zero incarnation: the shard stays
+	target      flow.ShardKey
+	outstanding map[member.Incarnation]*outstandingHandover
+}
+
+// outstandingHandover is a message that its receiver has not confirmed. It is sent again unchanged.
+type outstandingHandover struct {
+	to       member.Host
+	message  *flow.Handover
+	resendAt time.Time
+}
+
+func (h *handoverState) isActive() bool { return h.to.Incarnation != 0 }
+
+// MoveTo starts to hand the shard's flows over to another owner, as flows of the target shard. Flows with requests in
+// progress follow when those are done. Calling it again with the same receiver changes nothing.
+func (s *Shard) MoveTo(now time.Time, to member.Host, target flow.ShardKey) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.handover.to.Incarnation == to.Incarnation && s.handover.target == target {
+		return
+	}
+	s.handover.to, s.handover.target = to, target
+	s.continueHandover(now)
+}
+
+// Stay ends a handover: this process is the shard's owner again. Flows that were sent stay with their receiver.
+func (s *Shard) Stay() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.handover.to = member.Host{}
+}
+
+// Force settles every request in progress, so that all flows can be handed over at once: waiting requests are refused
+// and sent ones become unknown.
+func (s *Shard) Force(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, pe := range s.queued {
+		s.queue.Remove(pe.item.Flow, pe.item.Request)
+		s.refuseQueued(now, pe.item, packet.ReasonDraining, 0)
+	}
+	for _, a := range s.attempts {
+		if !a.settled {
+			s.expireAttempt(now, a)
+		}
+	}
+	s.continueHandover(now)
+}
+
+// continueHandover sends unconfirmed messages again and the next batch. A flow that was sent is never sent to another
+// incarnation: the first may hold it and may be running its requests.
+func (s *Shard) continueHandover(now time.Time) {
+	h := &s.handover
+	for _, o := range h.outstanding {
+		if !now.Before(o.resendAt) {
+			s.sendHandover(now, o)
+		}
+	}
+	if !h.isActive() || h.outstanding[h.to.Incarnation] != nil {
+		return
+	}
+	flows := s.nextBatch(now)
+	if len(flows) == 0 {
+		return
+	}
+	o := &outstandingHandover{to: h.to, message: &flow.Handover{
+		From: s.self, To: h.to.Incarnation, Stream: s.base, Number: s.serial.Add(1), Shard: h.target, Flows: flows,
+	}}
+	if h.outstanding == nil {
+		h.outstanding = make(map[member.Incarnation]*outstandingHandover)
+	}
+	h.outstanding[h.to.Incarnation] = o
+	s.sendHandover(now, o)
+}
+
+func (s *Shard) sendHandover(now time.Time, o *outstandingHandover) {
+	o.resendAt = now.Add(s.config.HandoverInterval)
+	s.out.Handover.SendHandover(o.to, o.message)
+}
+
+// nextBatch takes flows whose requests are all settled.
+func (s *Shard) nextBatch(now time.Time) []flow.Snapshot {
+	var flows []flow.Snapshot
+	size := 0
+	for _, f := range s.flows {
+		if len(flows) >= handoverBatchFlows || size >= handoverBatchBytes {
+			break
+		}
+		if f.sentTo != 0 || !f.window.IsSettled() {
+			continue
+		}
+		sn := s.snapshot(now, f)
+		size += snapshotBytes(&sn)
+		flows = append(flows, sn)
+	}
+	return flows
+}
+
+// snapshot copies a flow for its new owner and stops serving it here.
+func (s *Shard) snapshot(now time.Time, f *flowState) flow.Snapshot {
+	f.sentTo = s.handover.to.Incarnation
+	sn := flow.Snapshot{
+		Ticket: flow.Ticket{
+			Flow: f.id, Service: s.service, Customer: f.customer, Class: f.class, Shard: s.handover.target,
+			Grant: f.grant(), Endpoint: f.endpoint, IssuedAt: now,
+		},
+		Grants:  append([]flow.Grant(nil), f.grants...),
+		Caller:  f.caller,
+		Service: f.service,
+	}
+	sn.Floor, sn.Records = f.window.Export()
+	if f.feed != nil {
+		sn.Feed, sn.Sequence = f.feed.name, f.feed.acked
+		s.closeFeed(f, true)
+	}
+	return sn
+}
+
+func snapshotBytes(sn *flow.Snapshot) int {
+	const fixed = 512 // ticket, names, addresses
+	n := fixed + 16*len(sn.Grants)
+	for i := range sn.Records {
+		n += 32 + len(sn.Records[i].Answer)
+	}
+	return n
+}
+
+// HandoverDone tells the result of a handover. Flows that arrived are forgotten here; the ticket or the plan leads their
+// packets to the new owner.
+func (s *Shard) HandoverDone(now time.Time, h *flow.Handover, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o := s.handover.outstanding[h.To]
+	if o == nil || o.message.Number != h.Number {
+		return
+	}
+	if err != nil {
+		s.drop("handover_failed") // sent again at resendAt
+		return
+	}
+	delete(s.handover.outstanding, h.To)
+	s.out.Recorder.Count(metric.HandedOver, "sent", s.removeSent(h))
+	s.continueHandover(now)
+}
+
+func (s *Shard) removeSent(h *flow.Handover) (removed int64) {
+	for i := range h.Flows {
+		if f := s.flows[h.Flows[i].Ticket.Flow]; f != nil && f.sentTo == h.To {
+			s.removeFlow(f)
+			removed++
+		}
+	}
+	return removed
+}
+
+// Holds reports whether the shard has the flow, and the incarnation that it was sent to, if any.
+func (s *Shard) Holds(id packet.FlowID) (sentTo member.Incarnation, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f := s.flows[id]
+	if f == nil {
+		return 0, false
+	}
+	return f.sentTo, true
+}
+
+// AbandonReceivers forgets flows that were sent to an incarnation that is gone. Their tickets count as foreign from now
+// on, so that no non-idempotent request of theirs is run again.
+func (s *Shard) AbandonReceivers(isGone func(member.Incarnation) bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for to, o := range s.handover.outstanding {
+		if isGone(to) {
+			delete(s.handover.outstanding, to)
+			s.removeSent(o.message)
+		}
+	}
+}
+
+// HandleHandover takes flows from their former owner. The caller makes sure that each message is taken once.
+func (s *Shard) HandleHandover(now time.Time, h *flow.Handover) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i := range h.Flows {
+		s.receive(now, &h.Flows[i])
+	}
+}
+
+func (s *Shard) receive(now time.Time, sn *flow.Snapshot) {
+	from := Origin{Caller: sn.Caller, Service: sn.Service}
+	f := s.flows[sn.Ticket.Flow]
+	if f == nil {
+		f = s.addFlow(now, from, sn.Ticket.Flow, sn.Ticket.Customer, sn.Ticket.Class)
+		own := s.newGrant()
+		f.addGrants(sn.Grants)
+		f.addGrants([]flow.Grant{own})
+		if s.endpoints.Adopt(sn.Ticket.Endpoint) {
+			f.endpoint = sn.Ticket.Endpoint
+		}
+	} else {
+		if f.accepts(sn.Ticket.Grant) {
+			return // received before
+		}
+		own := f.grant()
+		f.grants = f.grants[:len(f.grants)-1]
+		f.addGrants(sn.Grants)
+		f.addGrants([]flow.Grant{own})
+	}
+	f.window.Merge(sn.Floor, sn.Records)
+	f.window.Each(func(r *flow.Record) {
+		if r.Answer != nil {
+			s.answers = append(s.answers, settledAnswer{requestKey{f.id, r.Request}, now})
+			s.answerBytes += len(r.Answer)
+		}
+	})
+	if sn.Feed != "" && f.feed == nil {
+		s.openFeed(now, f, sn.Feed, sn.Sequence)
+	}
+	s.out.Recorder.Count(metric.HandedOver, "received", 1)
+	s.sendCaller(f, &packet.Packet{Kind: packet.KindOpened, Flow: f.id, Ticket: s.ticket(now, f)})
+}
--- /dev/null
+++ b/core/coordination/dispatch/shard.go
@@ -0,0 +1,344 @@
+// Package dispatch is the owner of a pool shard: it holds the shard's flows, its queue and the slots of its endpoints,
+// runs requests, relays feeds, and hands flows over to another owner.
+//
+// # Usage
+//
+// A Shard takes events (HandleCaller, HandleBackend, BackendUp, BackendDown, HandleHandover, Tick) and sends messages
+// through the interfaces in Outputs. It starts no goroutines and reads no clock: each event carries the time. A Shard
+// is safe for concurrent use; one lock guards its whole state.
+//
+// Rules that the code keeps, whatever other balancers believe:
+//
+//   - A non-idempotent request is sent at most once, and only under a grant that this shard holds.
+//   - A request that was answered with "not run" has a record, so that a late copy is not run either.
+//   - Work is sent only to an endpoint whose backend server has confirmed the shard's service.
+package dispatch
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"cornellb/core/coordination/admission"
+	"cornellb/core/coordination/endpoint"
+	"cornellb/core/state/flow"
+	"cornellb/core/state/member"
+	"cornellb/core/state/metric"
+	"cornellb/core/state/packet"
+	"cornellb/core/state/table"
+)
+
+// CallerSender sends a packet to a caller through the fabric. It does not block and may lose packets.
+type CallerSender interface {
+	SendCaller(service netip.AddrPort, to packet.CallerAddress, p *packet.Packet)
+}
+
+// BackendSender sends a frame to a backend server. An error means that nothing was or will be written.
+type BackendSender interface {
+	Send(to netip.AddrPort, m *packet.Backend) error
+	Want(to netip.AddrPort, service string)
+	Forget(to netip.AddrPort)
+}
+
+// HandoverSender sends flows to another owner. The result arrives through HandoverDone.
+type HandoverSender interface {
+	SendHandover(to member.Host, h *flow.Handover)
+}
+
+// TicketSealer encodes tickets.
+type TicketSealer interface {
+	Seal(t *flow.Ticket) []byte
+}
+
+// Recorder counts and measures.
+type Recorder interface {
+	Count(c metric.Counter, label string, n int64)
+	Observe(h metric.Histogram, customer string, class packet.Class, d time.Duration)
+}
+
+// Outputs are the interfaces that a shard uses.
+type Outputs struct {
+	Caller   CallerSender
+	Backend  BackendSender
+	Handover HandoverSender
+	Tickets  TicketSealer
+	Recorder Recorder
+}
+
+// Mode selects how endpoints are chosen. All but ModeOwner are baselines for measurements.
+type Mode string
+
+// The modes.
+const (
+	ModeOwner            Mode = "owner"             // one owner for each pool shard, exact counts, pins
+	ModeHash             Mode = "hash"              // consistent hashing of the flow ID, no pins, no common counts
+	ModeLeastConnections Mode = "least_connections" // each balancer alone, by its own counts
+)
+
+// Config holds the settings of a shard.
+type Config struct {
+	Mode             Mode
+	Admission        admission.Config
+	Endpoint         endpoint.Config
+	Retry            endpoint.RetryConfig
+	MaxFlows         int           // flows held by one shard
+	FlowIdle         time.Duration // a flow without packets is forgotten after this time
+	FeedIdle         time.Duration // a feed whose caller is silent is closed after this time
+	AnswerRetention  time.Duration // unconfirmed answers are kept for this time
+	MaxAnswerBytes   int           // sum of kept answers
+	AttemptGrace     time.Duration // time after the deadline for the backend server's reply to a cancellation
+	FeedWindow       int           // unacknowledged items of a feed
+	FeedResend       time.Duration // time after which unacknowledged items are sent again
+	HandoverInterval time.Duration // time after which an unacknowledged handover is sent again
+}
+
+// DefaultConfig returns the defaults.
+func DefaultConfig() Config {
+	return Config{
+		Mode:             ModeOwner,
+		Admission:        admission.Config{Limit: admission.DefaultLimit, Weights: admission.DefaultWeights},
+		MaxFlows:         200_000,
+		FlowIdle:         5 * time.Minute,
+		FeedIdle:         10 * time.Second,
+		AnswerRetention:  30 * time.Second,
+		MaxAnswerBytes:   32 << 20,
+		AttemptGrace:     5 * time.Second,
+		FeedWindow:       64,
+		FeedResend:       300 * time.Millisecond,
+		HandoverInterval: 500 * time.Millisecond,
+	}
+}
+
+// numberBits is the number of low bits of an attempt or stream number that a shard counts itself; the bits above hold
+// the shard's number, so that a reply finds its shard.
+const numberBits = 40
+
+// ShardNumber returns the number of the shard that made an attempt or stream number.
+func ShardNumber(attempt uint64) uint64 { return attempt >> numberBits }
+
+// Shard is one pool shard at its owner.
+type Shard struct {
+	key     flow.ShardKey
+	service string
+	self    member.Incarnation
+	config  Config
+	out     Outputs
+
+	mu          sync.Mutex
+	random      *rand.Rand
+	queue       *admission.Queue
+	endpoints   *endpoint.Set
+	budget      *endpoint.RetryBudget
+	flows       map[packet.FlowID]*flowState
+	feeds       map[packet.FlowID]*flowState // flows with an open feed
+	unacked     map[packet.FlowID]*flowState // feeds with items that the caller has not acknowledged
+	attempts    map[uint64]*attempt
+	streams     map[uint64]*flowState
+	queued      map[requestKey]*pending // waiting requests, in the queue or delayed
+	delayed     []*pending              // retries in their backoff
+	base        uint64                  // shard number in the high bits
+	last        uint64                  // last attempt or stream number
+	serial      *atomic.Uint64
+	answerBytes int
+	answers     []settledAnswer // oldest first
+	handover    handoverState
+	createdAt   time.Time               // when the first endpoint was added
+	unlisted    map[netip.AddrPort]bool // endpoints no longer in the tables that still have attempts
+	closed      bool                    // no endpoint is left and no new work is taken
+}
+
+type requestKey struct {
+	flow    packet.FlowID
+	request uint64
+}
+
+type settledAnswer struct {
+	key requestKey
+	at  time.Time
+}
+
+// NewShard returns a shard without endpoints. The number must be unique among the shards of the process; serial is
+// common to all shards of the process.
+func NewShard(key flow.ShardKey, service string, number uint64, self member.Incarnation, serial *atomic.Uint64,
+	config Config, random *rand.Rand, out Outputs) *Shard {
+	return &Shard{
+		key:       key,
+		service:   service,
+		self:      self,
+		config:    config,
+		out:       out,
+		random:    random,
+		queue:     admission.New(config.Admission),
+		endpoints: endpoint.New(config.Endpoint, random),
+		budget:    endpoint.NewRetryBudget(config.Retry, random),
+		flows:     make(map[packet.FlowID]*flowState),
+		feeds:     make(map[packet.FlowID]*flowState),
+		unacked:   make(map[packet.FlowID]*flowState),
+		attempts:  make(map[uint64]*attempt),
+		streams:   make(map[uint64]*flowState),
+		queued:    make(map[requestKey]*pending),
+		unlisted:  make(map[netip.AddrPort]bool),
+		base:      number << numberBits,
+		serial:    serial,
+	}
+}
+
+// Key returns the shard's key.
+func (s *Shard) Key() flow.ShardKey { return s.key }
+
+// SetEndpoints takes the shard's endpoints from a new table version.
+func (s *Shard) SetEndpoints(now time.Time, endpoints []table.Endpoint) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	added, removed, leaving := s.endpoints.Update(now, endpoints)
+	for _, a := range added {
+		if s.createdAt.IsZero() {
+			s.createdAt = now
+		}
+		delete(s.unlisted, a)
+		s.out.Backend.Want(a, s.service)
+	}
+	for _, a := range removed {
+		s.moveFeeds(now, a, "removed")
+		s.unlisted[a] = true
+	}
+	s.forgetUnlisted()
+	for _, a := range leaving {
+		s.moveFeeds(now, a, "leaving")
+	}
+	s.dispatch(now)
+}
+
+// MarkLeaving stops new work for an endpoint whose host the platform lists as leaving.
+func (s *Shard) MarkLeaving(now time.Time, address netip.AddrPort) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.endpoints.MarkLeaving(now, address, endpoint.LeavingHost, true) {
+		s.moveFeeds(now, address, "leaving")
+	}
+}
+
+// BackendUp tells that a connection to an endpoint stands and its backend server has confirmed the service.
+func (s *Shard) BackendUp(now time.Time, address netip.AddrPort, service string, incarnation uint64, busy int,
+	leaving bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.endpoints.IsListed(address) || service != s.service {
+		return
+	}
+	s.endpoints.Up(now, address, incarnation)
+	s.observe(now, address, busy, leaving)
+	s.resumeFeeds(now)
+	s.dispatch(now)
+}
+
+// BackendDown tells that the connection to an endpoint broke. The frames in unsent were not passed to the kernel.
+func (s *Shard) BackendDown(now time.Time, address netip.AddrPort, unsent []*packet.Backend) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.endpoints.IsListed(address) && s.inFlight(address) == 0 {
+		return
+	}
+	s.endpoints.Down(now, address)
+	s.failAttempts(now, address, unsent)
+	s.moveFeeds(now, address, "down")
+	s.dispatch(now)
+}
+
+// HandleBackend takes a frame of an attempt or stream that this shard started, or a report of an endpoint's load.
+func (s *Shard) HandleBackend(now time.Time, address netip.AddrPort, m *packet.Backend) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch m.Kind {
+	case packet.BackendAnswer:
+		s.handleAnswer(now, address, m)
+	case packet.BackendShed:
+		s.handleShed(now, address, m)
+	case packet.BackendCancelled:
+		s.handleCancelled(now, address, m)
+	case packet.BackendItem:
+		s.handleItem(now, address, m)
+	case packet.BackendPong:
+	default:
+		s.drop("backend_kind")
+		return
+	}
+	if m.Kind != packet.BackendItem && s.endpoints.IsListed(address) {
+		s.observe(now, address, int(m.Busy), m.Leaving)
+	}
+	s.dispatch(now)
+}
+
+// observe takes an endpoint's own report. Feeds leave an endpoint as soon as it says that it is leaving.
+func (s *Shard) observe(now time.Time, address netip.AddrPort, busy int, leaving bool) {
+	if s.endpoints.Observe(now, address, busy, leaving) {
+		s.moveFeeds(now, address, "leaving")
+	}
+}
+
+// Tick runs everything that depends on time alone. Call it every 50 ms or so.
+func (s *Shard) Tick(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expireAttempts(now)
+	s.forgetUnlisted()
+	s.pushDelayed(now)
+	s.dispatch(now)
+	s.resumeFeeds(now)
+	s.resendItems(now)
+	s.expireAnswers(now)
+	s.expireFlows(now)
+	s.continueHandover(now)
+}
+
+// Load is a summary of a shard for status and tests.
+type Load struct {
+	Flows, Feeds, Queued, InFlight int
+}
+
+// Load returns the present load.
+func (s *Shard) Load() Load {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Load{Flows: len(s.flows), Feeds: len(s.feeds), Queued: len(s.queued), InFlight: len(s.attempts)}
+}
+
+// IsIdle reports whether nothing is left to finish or to hand over.
+func (s *Shard) IsIdle() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.flows) == 0 && len(s.attempts) == 0 && len(s.queued) == 0
+}
+
+// Close releases the connections of a shard that is idle.
+func (s *Shard) Close(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	_, removed, _ := s.endpoints.Update(now, nil)
+	for _, a := range removed {
+		s.unlisted[a] = true
+	}
+	s.forgetUnlisted()
+}
+
+// forgetUnlisted closes the connections to endpoints that the tables no longer have, once nothing runs there.
+func (s *Shard) forgetUnlisted() {
+	for a := range s.unlisted {
+		if s.inFlight(a) == 0 {
+			delete(s.unlisted, a)
+			s.out.Backend.Forget(a)
+		}
+	}
+}
+
+func (s *Shard) nextNumber() uint64 {
+	s.last++
+	return s.base | s.last&(1<<numberBits-1)
+}
+
+func (s *Shard) drop(reason string) { s.out.Recorder.Count(metric.Dropped, reason, 1) }
+
+func (s *Shard) violation(name string) { s.out.Recorder.Count(metric.Violation, name, 1) }
--- /dev/null
+++ b/core/coordination/routing/layout.go
@@ -0,0 +1,181 @@
+package routing
+
+import (
+	"encoding/binary"
+	"math"
+	"net/netip"
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"cornellb/core/state/flow"
+	"cornellb/core/state/packet"
+	"cornellb/core/state/table"
+)
+
+// DefaultShardEndpoints is the default of the largest number of endpoints in one pool shard. One owner serves all
+// endpoints of a shard, so the number bounds the load that one shard puts on its owner.
+const DefaultShardEndpoints = 32
+
+// bucketsPerShard sets the granularity of the division of opens among the shards of a pool: 1/256 of a mean share.
+const bucketsPerShard = 256
+
+// Shard is a group of endpoints of one pool in one failure domain.
+type Shard struct {
+	Key       flow.ShardKey
+	Service   string
+	Endpoints []table.Endpoint // sorted by address
+	Slots     int              // sum over endpoints that are not leaving
+	number    int              // position in Layout.Shards
+	hash      uint64
+}
+
+// PoolLayout is the division of one pool into shards.
+type PoolLayout struct {
+	Pool    string
+	Shards  []*Shard
+	buckets []uint16 // index into Shards
+}
+
+// Layout is the division of all pools of one table version into shards. It never changes after it was built.
+type Layout struct {
+	Index  *table.Index
+	Shards []*Shard
+	pools  map[string]*PoolLayout
+	byKey  map[flow.ShardKey]*Shard
+}
+
+// NewLayout divides the pools into shards of at most shardEndpoints endpoints, as far as their hashes spread evenly.
+func NewLayout(x *table.Index, shardEndpoints int) *Layout {
+	l := &Layout{
+		Index: x,
+		pools: make(map[string]*PoolLayout, len(x.Tables.Pools)),
+		byKey: make(map[flow.ShardKey]*Shard),
+	}
+	for i := range x.Tables.Pools {
+		l.addPool(&x.Tables.Pools[i], shardEndpoints)
+	}
+	return l
+}
+
+// Pool returns the layout of a pool, or nil.
+func (l *Layout) Pool(name string) *PoolLayout { return l.pools[name] }
+
+// Shard returns the shard of a key, or nil.
+func (l *Layout) Shard(key flow.ShardKey) *Shard { return l.byKey[key] }
+
+func (l *Layout) addPool(p *table.Pool, shardEndpoints int) {
+	perDomain := map[string]int{}
+	for _, e := range p.Endpoints {
+		perDomain[e.FailureDomain]++
+	}
+	pl := &PoolLayout{Pool: p.Name}
+	for _, e := range p.Endpoints {
+		key := flow.ShardKey{
+			Pool:          p.Name,
+			FailureDomain: e.FailureDomain,
+			Group:         groupOf(e.Address, groupCount(perDomain[e.FailureDomain], shardEndpoints)),
+		}
+		s := l.byKey[key]
+		if s == nil {
+			s = &Shard{Key: key, Service: p.Service, hash: hashKey(key)}
+			l.byKey[key] = s
+			pl.Shards = append(pl.Shards, s)
+		}
+		s.Endpoints = append(s.Endpoints, e)
+		if !e.Leaving {
+			s.Slots += e.Slots
+		}
+	}
+	slices.SortFunc(pl.Shards, func(a, b *Shard) int { return strings.Compare(a.Key.String(), b.Key.String()) })
+	for _, s := range pl.Shards {
+		slices.SortFunc(s.Endpoints, func(a, b table.Endpoint) int { return a.Address.Compare(b.Address) })
+		s.number = len(l.Shards)
+		l.Shards = append(l.Shards, s)
+	}
+	pl.buckets = fillBuckets(pl.Shards)
+	l.pools[p.Name] = pl
+}
+
+// groupCount is a power of two, so that an added endpoint moves others between groups only when the number doubles.
+func groupCount(endpoints, shardEndpoints int) uint64 {
+	n := uint64(1)
+	for int(n)*shardEndpoints < endpoints {
+		n *= 2
+	}
+	return n
+}
+
+func groupOf(a netip.AddrPort, groups uint64) uint32 {
+	if groups == 1 {
+		return 0
+	}
+	text, _ := a.MarshalText()
+	return uint32(xxhash.Sum64(text) % groups)
+}
+
+func hashKey(key flow.ShardKey) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(key.Pool)
+	_, _ = d.WriteString("\x00")
+	_, _ = d.WriteString(key.FailureDomain)
+	var group [4]byte
+	binary.BigEndian.PutUint32(group[:], key.Group)
+	_, _ = d.Write(group[:])
+	return d.Sum64()
+}
+
+// fillBuckets gives each bucket to the winner of a rendezvous hash weighted by slots. A change of one shard's weight
+// thereby moves only buckets to or from that shard.
+func fillBuckets(shards []*Shard) []uint16 {
+	if len(shards) == 0 {
+		return nil
+	}
+	count := bucketsPerShard
+	for count < bucketsPerShard*len(shards) {
+		count *= 2
+	}
+	buckets := make([]uint16, count)
+	for b := range buckets {
+		best, bestScore := 0, math.Inf(-1)
+		for i, s := range shards {
+			if score := weightedScore(mix(s.hash, uint64(b)), s.Slots); score > bestScore {
+				best, bestScore = i, score
+			}
+		}
+		buckets[b] = uint16(best)
+	}
+	return buckets
+}
+
+// weightedScore is the score of weighted rendezvous hashing: the winner is i with probability weight(i)/sum.
+func weightedScore(hash uint64, weight int) float64 {
+	if weight <= 0 {
+		return math.Inf(-1)
+	}
+	unit := (float64(hash>>11) + 0.5) / (1 << 53)
+	return float64(weight) / -math.Log(unit)
+}
+
+// Choose returns the shard for a new flow, or nil. The spill count selects the next shards of the pool, in turn, when
+// the earlier ones had no room. The cost does not depend on the number of shards.
+func (p *PoolLayout) Choose(id packet.FlowID, spill int) *Shard {
+	if len(p.Shards) == 0 || spill >= len(p.Shards) {
+		return nil
+	}
+	h := xxhash.Sum64(id[:])
+	first := int(p.buckets[h%uint64(len(p.buckets))])
+	return p.Shards[(first+spill)%len(p.Shards)]
+}
+
+// mix combines two hashes (finalizer of splitmix64).
+func mix(a, b uint64) uint64 {
+	x := a ^ (b * 0x9e3779b97f4a7c15)
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
--- /dev/null
+++ b/core/coordination/routing/plan.go
@@ -0,0 +1,100 @@
+// Package routing decides which pool shard a flow belongs to and which balancer owns a pool shard.
+//
+// # Usage
+//
+// A Layout divides the pools of one table version into shards. A Plan joins a Layout with one membership view and
+// answers Owner for each shard by rendezvous hashing. Both are immutable to their readers and need no lock; a balancer
+// swaps in a new Plan when its tables or its view change. Plans of different balancers may differ at any time.
+package routing
+
+import (
+	"sync/atomic"
+
+	"github.com/cespare/xxhash/v2"
+
+	"cornellb/core/state/flow"
+	"cornellb/core/state/member"
+	"cornellb/core/state/packet"
+)
+
+// Plan answers where flows go, for one layout and one view.
+type Plan struct {
+	Layout   *Layout
+	View     *member.View
+	domains  map[string][]candidate
+	everyone []candidate
+	owners   []atomic.Int32 // per shard: index of the owner in View.Hosts plus 1, or 0 if not computed yet
+}
+
+type candidate struct {
+	host int // index in View.Hosts
+	hash uint64
+}
+
+// noOwner marks a shard for which no member can be the owner.
+const noOwner = -1
+
+// NewPlan joins a layout and a view.
+func NewPlan(l *Layout, v *member.View) *Plan {
+	p := &Plan{
+		Layout:  l,
+		View:    v,
+		domains: make(map[string][]candidate),
+		owners:  make([]atomic.Int32, len(l.Shards)),
+	}
+	for i, h := range v.Hosts {
+		if !h.CanOwn() {
+			continue
+		}
+		c := candidate{host: i, hash: xxhash.Sum64String(h.ID)}
+		p.domains[h.FailureDomain] = append(p.domains[h.FailureDomain], c)
+		p.everyone = append(p.everyone, c)
+	}
+	return p
+}
+
+// Owner returns the member that owns a shard in this plan. The first call for a shard costs one hash for each member of
+// its failure domain; later calls are a lookup.
+func (p *Plan) Owner(s *Shard) (member.Host, bool) {
+	i := p.owners[s.number].Load()
+	if i == 0 {
+		i = p.computeOwner(s)
+		p.owners[s.number].Store(i)
+	}
+	if i == noOwner {
+		return member.Host{}, false
+	}
+	return p.View.Hosts[i-1], true
+}
+
+func (p *Plan) computeOwner(s *Shard) int32 {
+	candidates := p.domains[s.Key.FailureDomain]
+	if len(candidates) == 0 {
+		candidates = p.everyone
+	}
+	best, bestScore := int32(noOwner), uint64(0)
+	for _, c := range candidates {
+		if score := mix(c.hash, s.hash); best == noOwner || score > bestScore {
+			best, bestScore = int32(c.host+1), score
+		}
+	}
+	return best
+}
+
+// Choose returns the shard of a pool for a new flow, or nil.
+func (p *Plan) Choose(pool string, id packet.FlowID, spill int) *Shard {
+	pl := p.Layout.Pool(pool)
+	if pl == nil {
+		return nil
+	}
+	return pl.Choose(id, spill)
+}
+
+// ShardOf returns the shard that a ticketed flow belongs to now: the ticket's own shard while it exists, else the
+// shard that the flow ID selects in the pool of its route.
+func (p *Plan) ShardOf(key flow.ShardKey, pool string, id packet.FlowID) *Shard {
+	if s := p.Layout.Shard(key); s != nil && key.Pool == pool {
+		return s
+	}
+	return p.Choose(pool, id, 0)
+}
--- a/core/state/flow/flow.go
+++ b/core/state/flow/flow.go
@@ -89,10 +89,14 @@
 	Sequence uint64 // last feed item that the caller acknowledged
 }
 
-// Handover moves flows of one pool shard to another owner. It is meant for the incarnation To alone.
+// Handover moves flows of one pool shard to another owner. It is meant for the incarnation To alone. Stream and Number
+// let the receiver take each message once: a copy that arrives after the receiver passed the flows on would otherwise
+// bring back old records, and a request could run twice.
 type Handover struct {
-	From  member.Incarnation
-	To    member.Incarnation
-	Shard ShardKey
-	Flows []Snapshot
+	From   member.Incarnation
+	To     member.Incarnation
+	Stream uint64 // names the sending shard within its process
+	Number uint64 // rises with each message of a stream; a repeated message keeps its number
+	Shard  ShardKey
+	Flows  []Snapshot
 }
--- /dev/null
+++ b/core/state/metric/metric.go
@@ -0,0 +1,38 @@
+// Package metric names what the decision core counts and measures.
+//
+// # Usage
+//
+// Packages of the core declare the small part of the recorder that they need. io/transport/operator exports every name
+// here as an OpenTelemetry instrument.
+package metric
+
+// Counter names a counted event. Each has one label.
+type Counter string
+
+// The counters, with the meaning of their label.
+const (
+	Accepted    Counter = "accepted"         // class: requests that entered the queue
+	Answered    Counter = "answered"         // class: requests answered whole
+	Refused     Counter = "refused"          // reason: requests and opens that were not run
+	Unknown     Counter = "unknown"          // reason: requests with unknown outcome
+	Dropped     Counter = "dropped"          // reason: packets and frames that were discarded
+	Retried     Counter = "retried"          // cause: further attempts of requests
+	Opened      Counter = "flows_opened"     // class
+	Adopted     Counter = "flows_adopted"    // cause: flows taken over from their ticket
+	HandedOver  Counter = "flows_handedover" // direction: sent, received
+	Repinned    Counter = "flows_repinned"   // cause: flows moved to another endpoint
+	Spilled     Counter = "opens_spilled"    // pool: opens passed to the next pool shard
+	Forwarded   Counter = "forwarded"        // kind: packets sent on to another balancer
+	Resent      Counter = "resent"           // kind: retransmissions to callers
+	Violation   Counter = "invariant"        // name of the invariant
+	ControlSent Counter = "control_bytes"    // kind: bytes sent to other balancers for control
+)
+
+// Histogram names a measured duration, recorded per customer and class.
+type Histogram string
+
+// The histograms.
+const (
+	Latency   Histogram = "request_seconds" // from arrival at the owner to the answer
+	QueueTime Histogram = "queue_seconds"   // from arrival at the owner to dispatch
+)
--- a/io/protocol/wire/packet.go
+++ b/io/protocol/wire/packet.go
@@ -118,6 +118,7 @@
 	envelopeService = 2
 	envelopePacket  = 3
 	forwardHops     = 4
+	forwardSpill    = 5
 )
 
 // AppendEnvelope appends the encoded envelope to dst and returns the extended slice.
@@ -165,7 +166,8 @@
 // AppendForward appends the encoded forward to dst and returns the extended slice.
 func AppendForward(dst []byte, f *packet.Forward) []byte {
 	dst = AppendEnvelope(dst, &f.Envelope)
-	return appendUint(dst, forwardHops, uint64(f.Hops))
+	dst = appendUint(dst, forwardHops, uint64(f.Hops))
+	return appendUint(dst, forwardSpill, uint64(f.Spill))
 }
 
 // DecodeForward overwrites f with the decoded forward. The packet aliases b and is not decoded. The error is a
@@ -177,11 +179,14 @@
 	}
 	r := reader{rest: b}
 	for r.next() {
-		if r.key == forwardHops<<3|varint {
+		switch r.key {
+		case forwardHops<<3 | varint:
 			f.Hops = uint8(r.uint32("hops", packet.MaxHops) & math.MaxUint8)
-			continue
+		case forwardSpill<<3 | varint:
+			f.Spill = uint8(r.uint32("spill", math.MaxUint8) & math.MaxUint8)
+		default:
+			envelopeField(&r, &f.Envelope)
 		}
-		envelopeField(&r, &f.Envelope)
 	}
 	requireAddresses(&r, &f.Envelope)
 	return r.err("Forward")
--- a/io/protocol/wire/ticket.go
+++ b/io/protocol/wire/ticket.go
@@ -26,6 +26,7 @@
 	ticketOwner    = 8
 	ticketEndpoint = 9
 	ticketIssuedAt = 10
+	ticketSerial   = 11
 )
 
 const (
@@ -46,9 +47,10 @@
 	dst = appendString(dst, ticketPool, t.Shard.Pool)
 	dst = appendString(dst, ticketDomain, t.Shard.FailureDomain)
 	dst = appendUint(dst, ticketGroup, uint64(t.Shard.Group))
-	dst = appendFixed64(dst, ticketOwner, uint64(t.Owner))
+	dst = appendFixed64(dst, ticketOwner, uint64(t.Grant.Owner))
 	dst = appendAddress(dst, ticketEndpoint, t.Endpoint)
-	return appendUint(dst, ticketIssuedAt, uint64(max(t.IssuedAt.Unix(), 0)))
+	dst = appendUint(dst, ticketIssuedAt, uint64(max(t.IssuedAt.Unix(), 0)))
+	return appendUint(dst, ticketSerial, t.Grant.Serial)
 }
 
 // DecodeTicket overwrites t with the decoded ticket message, without any check of its origin. The error is a
@@ -79,11 +81,13 @@
 	case ticketGroup<<3 | varint:
 		t.Shard.Group = r.uint32("group", math.MaxUint32)
 	case ticketOwner<<3 | fixed64:
-		t.Owner = member.Incarnation(r.number)
+		t.Grant.Owner = member.Incarnation(r.number)
 	case ticketEndpoint<<3 | bytes:
 		t.Endpoint = r.address("endpoint")
 	case ticketIssuedAt<<3 | varint:
 		t.IssuedAt = r.seconds("issued_at_seconds")
+	case ticketSerial<<3 | varint:
+		t.Grant.Serial = r.number
 	}
 }
 
--- a/io/protocol/wire/wire_test.go
+++ b/io/protocol/wire/wire_test.go
@@ -79,7 +79,10 @@
 		Class:    packet.Class(rapid.IntRange(0, int(packet.ClassCount)-1).Draw(t, "class")),
 		Shard: flow.ShardKey{Pool: name(t, "pool"), FailureDomain: name(t, "domain"),
 			Group: rapid.Uint32().Draw(t, "group")},
-		Owner: member.Incarnation(rapid.Uint64().Draw(t, "owner")),
+		Grant: flow.Grant{
+			Owner:  member.Incarnation(rapid.Uint64().Draw(t, "owner")),
+			Serial: rapid.Uint64().Draw(t, "serial"),
+		},
 	}
 	if rapid.Bool().Draw(t, "pinned") {
 		k.Endpoint = address(t, "endpoint")
@@ -107,7 +110,7 @@
 func generatedTicket(k *flow.Ticket) *datagram.Ticket {
 	m := &datagram.Ticket{
 		Service: k.Service, Customer: k.Customer, Class: datagram.Class(k.Class), Pool: k.Shard.Pool,
-		FailureDomain: k.Shard.FailureDomain, Group: k.Shard.Group, Owner: uint64(k.Owner),
+		FailureDomain: k.Shard.FailureDomain, Group: k.Shard.Group, Owner: uint64(k.Grant.Owner), Serial: k.Grant.Serial,
 		Endpoint: generatedAddress(k.Endpoint),
 	}
 	if k.Flow != (packet.FlowID{}) {
@@ -145,10 +148,10 @@
 		is.Equal(p, wantPacket)
 
 		var f packet.Forward
-		want := packet.Forward{Hops: uint8(rapid.IntRange(0, packet.MaxHops).Draw(t, "hops")), Envelope: packet.Envelope{
+		want := packet.Forward{Hops: uint8(rapid.IntRange(0, packet.MaxHops).Draw(t, "hops")), Spill: uint8(rapid.IntRange(0, 255).Draw(t, "spill")), Envelope: packet.Envelope{
 			Caller: address(t, "caller"), Service: address(t, "service"), Packet: AppendPacket(nil, &p)}}
 		b = encodeGenerated(t, &datagram.Forward{Caller: generatedAddress(want.Caller),
-			Service: generatedAddress(want.Service), Packet: want.Packet, Hops: uint32(want.Hops)})
+			Service: generatedAddress(want.Service), Packet: want.Packet, Hops: uint32(want.Hops), Spill: uint32(want.Spill)})
 		is.Equal(AppendForward(nil, &want), b)
 		is.NoErr(d.DecodeForward(b, &f))
 		is.Equal(f, want)
@@ -208,7 +211,7 @@
 	return flow.Ticket{
 		Flow: packet.FlowID{1, 2, 3, 4, 5, 6, 7, 8}, Service: "reminders", Customer: "customer-0042",
 		Class: packet.ClassNormal, Shard: flow.ShardKey{Pool: "reminders-attiki", FailureDomain: "attiki-1", Group: 3},
-		Owner: 0x1234567890abcdef, Endpoint: netip.MustParseAddrPort("10.20.30.40:7000"),
+		Grant: flow.Grant{Owner: 0x1234567890abcdef, Serial: 7}, Endpoint: netip.MustParseAddrPort("10.20.30.40:7000"),
 		IssuedAt: time.Unix(1796380000, 0).UTC(),
 	}
 }
