--- /dev/null
+++ b/core/coordination/balancer/peers_test.go
@@ -0,0 +1,345 @@
+package balancer_test
+
+import (
+	"bytes"
+	"encoding/binary"
+	"fmt"
+	"net/netip"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"cornellb/core/state/packet"
+)
+
+// backendServer is a fake backend server that counts what it runs.
+type backendServer struct {
+	w           *world
+	address     netip.AddrPort
+	domain      string
+	service     string
+	incarnation uint64
+	slots       int
+	leaving     bool
+	leftAt      time.Time
+	running     map[attemptKey]bool
+	links       map[*link]bool
+	streams     map[streamKey]*stream
+	serviceTime time.Duration
+}
+
+type attemptKey struct {
+	l       *link
+	attempt uint64
+}
+
+type streamKey struct {
+	l      *link
+	stream uint64
+}
+
+type stream struct {
+	feed        string
+	next, acked uint64
+}
+
+func (w *world) addBackend(address, domain, service string, slots int) *backendServer {
+	s := &backendServer{
+		w: w, address: netip.MustParseAddrPort(address), domain: domain, service: service,
+		incarnation: w.random.Uint64() | 1, slots: slots, running: map[attemptKey]bool{}, links: map[*link]bool{},
+		streams: map[streamKey]*stream{}, serviceTime: 10 * time.Millisecond,
+	}
+	w.backends[s.address] = s
+	w.every(20*time.Millisecond, func() bool {
+		s.emit()
+		return w.backends[s.address] == s
+	})
+	w.every(time.Second, func() bool {
+		for l := range s.links {
+			l.reply(&packet.Backend{Kind: packet.BackendPong})
+		}
+		return w.backends[s.address] == s
+	})
+	return s
+}
+
+// disconnect breaks a connection. Of the frames that were not delivered, a random tail counts as never sent.
+func (s *backendServer) disconnect(l *link) {
+	delete(s.links, l)
+	l.server = nil
+	for k := range s.streams {
+		if k.l == l {
+			delete(s.streams, k)
+		}
+	}
+	unsent := l.pending
+	if len(unsent) > 0 {
+		unsent = unsent[s.w.random.IntN(len(unsent)+1):]
+	}
+	l.pending = nil
+	s.w.after(0, func() { l.n.deliver(func() { l.n.b.BackendDown(l.address, unsent) }) })
+	s.w.after(50*time.Millisecond, l.connect)
+}
+
+func (s *backendServer) kill() {
+	delete(s.w.backends, s.address)
+	for l := range s.links {
+		s.disconnect(l)
+	}
+}
+
+func (s *backendServer) receive(l *link, m *packet.Backend) {
+	if m.Service != s.service {
+		s.w.fault("frame for %s reached %s", m.Service, s.service)
+		return
+	}
+	switch m.Kind {
+	case packet.BackendRun:
+		s.start(l, m)
+	case packet.BackendSubscribe:
+		s.streams[streamKey{l, m.Stream}] = &stream{feed: m.Feed, next: m.Sequence, acked: m.Sequence - 1}
+	case packet.BackendItemAck:
+		if st := s.streams[streamKey{l, m.Stream}]; st != nil {
+			st.acked = max(st.acked, m.Sequence)
+		}
+	case packet.BackendUnsubscribe:
+		delete(s.streams, streamKey{l, m.Stream})
+	}
+}
+
+func (s *backendServer) start(l *link, m *packet.Backend) {
+	if len(s.running) >= s.slots {
+		l.reply(&packet.Backend{Kind: packet.BackendShed, Attempt: m.Attempt})
+		return
+	}
+	if s.leaving && s.w.now.Sub(s.leftAt) > leavingBound {
+		s.w.fault("new work at %s %v after it began to leave", s.address, s.w.now.Sub(s.leftAt))
+	}
+	s.w.runs[requestID(m.Payload)]++
+	s.w.work[s.address]++
+	key := attemptKey{l, m.Attempt}
+	s.running[key] = true
+	epoch := l.epoch
+	s.w.after(s.w.jitter(s.serviceTime/2, s.serviceTime*3/2), func() {
+		delete(s.running, key)
+		if l.server == s && l.epoch == epoch {
+			l.reply(&packet.Backend{Kind: packet.BackendAnswer, Attempt: m.Attempt, Payload: answerTo(m.Payload)})
+		}
+	})
+}
+
+// leavingBound is the stated time after which a leaving backend server receives no new work.
+const leavingBound = 3 * time.Second
+
+func (s *backendServer) emit() {
+	for k, st := range s.streams {
+		if st.next-st.acked <= 64 {
+			k.l.reply(&packet.Backend{
+				Kind: packet.BackendItem, Stream: k.stream, Sequence: st.next, Payload: itemOf(st.feed, st.next),
+			})
+			st.next++
+		}
+	}
+}
+
+func requestID(payload []byte) string { return strings.TrimRight(string(payload), "\x00") }
+
+// answerTo makes an answer of several segments, so that a partial or crossed one is noticed.
+func answerTo(payload []byte) []byte {
+	return bytes.Repeat(append([]byte("answer to "), payload...), 100)
+}
+
+func itemOf(feed string, sequence uint64) []byte {
+	return binary.BigEndian.AppendUint64([]byte(feed), sequence)
+}
+
+// caller is a fake caller with one flow. It keeps the rules of the caller's protocol: one ticket per request.
+type caller struct {
+	w       *world
+	address packet.CallerAddress
+	service netip.AddrPort
+	flow    packet.FlowID
+	name    string
+	ticket  []byte
+	opened  bool
+	done    bool
+
+	request   uint64
+	current   *call
+	answered  int
+	notRun    map[string]packet.Reason
+	unknown   int
+	calls     int
+	feed      string
+	delivered uint64
+	buffer    map[uint64][]byte
+	heardAt   time.Time
+	adoptions int // tickets from other owners
+}
+
+type call struct {
+	id         string
+	idempotent bool
+	ticket     []byte
+	request    uint64
+	deadline   time.Time
+	segments   map[uint32][]byte
+}
+
+func (w *world) addCaller(service netip.AddrPort, feed string) *caller {
+	n := len(w.callers)
+	c := &caller{
+		w: w, service: service, feed: feed, name: fmt.Sprintf("caller-%d", n), notRun: map[string]packet.Reason{},
+		address: netip.AddrPortFrom(netip.MustParseAddr("10.9.0.1"), uint16(10000+n)), buffer: map[uint64][]byte{},
+		heardAt: w.now,
+	}
+	binary.BigEndian.PutUint64(c.flow[:], w.random.Uint64())
+	w.callers[c.address] = c
+	c.open()
+	w.every(time.Second, func() bool {
+		c.keepalive()
+		return !c.done
+	})
+	return c
+}
+
+func (c *caller) send(p packet.Packet) {
+	p.Flow = c.flow
+	c.w.fromCaller(c, c.service, p)
+}
+
+func (c *caller) open() {
+	if c.opened || c.done {
+		return
+	}
+	c.send(packet.Packet{Kind: packet.KindOpen, Customer: "customer-1", Class: packet.ClassNormal, Timeout: 3 * time.Second})
+	c.w.after(c.w.jitter(100*time.Millisecond, 200*time.Millisecond), c.open)
+}
+
+func (c *caller) keepalive() {
+	if !c.opened {
+		return
+	}
+	if c.feed != "" && c.w.now.Sub(c.heardAt) >= 3*time.Second {
+		c.subscribe()
+		return
+	}
+	c.send(packet.Packet{Kind: packet.KindPing, Ticket: c.ticket})
+}
+
+func (c *caller) subscribe() {
+	c.send(packet.Packet{Kind: packet.KindSubscribe, Ticket: c.ticket, Feed: c.feed, Sequence: c.delivered + 1})
+}
+
+func (c *caller) receive(p *packet.Packet) {
+	if c.done || p.Flow != c.flow {
+		return
+	}
+	c.heardAt = c.w.now
+	if len(p.Ticket) > 0 {
+		c.ticket = p.Ticket
+	}
+	switch p.Kind {
+	case packet.KindOpened:
+		if !c.opened {
+			c.opened = true
+			if c.feed != "" {
+				c.subscribe()
+			} else {
+				c.next()
+			}
+		}
+	case packet.KindItem:
+		c.receiveItem(p)
+	case packet.KindAnswer, packet.KindNotRun, packet.KindUnknown:
+		if c.current != nil && p.Request == c.current.request {
+			c.receiveOutcome(p)
+		}
+	}
+}
+
+func (c *caller) receiveItem(p *packet.Packet) {
+	if !bytes.Equal(p.Payload, itemOf(c.feed, p.Sequence)) {
+		c.w.fault("%s: item %d has the wrong content", c.name, p.Sequence)
+	}
+	if p.Sequence > c.delivered && len(c.buffer) < 256 {
+		c.buffer[p.Sequence] = p.Payload
+	}
+	for c.buffer[c.delivered+1] != nil {
+		c.delivered++
+		delete(c.buffer, c.delivered)
+	}
+	c.send(packet.Packet{Kind: packet.KindItemAck, Ticket: c.ticket, Sequence: c.delivered})
+}
+
+func (c *caller) next() {
+	if c.done {
+		return
+	}
+	c.request++
+	c.calls++
+	c.current = &call{
+		id: fmt.Sprintf("%s-%d", c.name, c.request), idempotent: c.w.random.IntN(2) == 0, ticket: c.ticket,
+		request: c.request, deadline: c.w.now.Add(3 * time.Second), segments: map[uint32][]byte{},
+	}
+	c.transmit(c.current)
+}
+
+func (c *caller) transmit(k *call) {
+	if c.current != k || c.done {
+		return
+	}
+	left := k.deadline.Sub(c.w.now)
+	if left <= 0 {
+		c.finish(func() { c.unknown++ })
+		return
+	}
+	c.send(packet.Packet{
+		Kind: packet.KindRequest, Ticket: k.ticket, Request: k.request, Idempotent: k.idempotent, Timeout: left,
+		Payload: []byte(k.id),
+	})
+	c.w.after(c.w.jitter(100*time.Millisecond, 200*time.Millisecond), func() { c.transmit(k) })
+}
+
+func (c *caller) finish(count func()) {
+	count()
+	c.current = nil
+	c.w.after(c.w.jitter(5*time.Millisecond, 50*time.Millisecond), c.next)
+}
+
+func (c *caller) receiveOutcome(p *packet.Packet) {
+	k := c.current
+	switch p.Kind {
+	case packet.KindNotRun:
+		c.notRun[k.id] = p.Reason
+		c.finish(func() {})
+	case packet.KindUnknown:
+		c.finish(func() { c.unknown++ })
+	case packet.KindAnswer:
+		k.segments[p.Segment] = p.Payload
+		if len(k.segments) < int(p.Segments) {
+			return
+		}
+		var whole []byte
+		for i := range p.Segments {
+			whole = append(whole, k.segments[i]...)
+		}
+		if xxhash.Sum64(whole) != p.Digest || !bytes.Equal(whole, answerTo([]byte(k.id))) {
+			c.w.fault("%s: wrong answer to %s", c.name, k.id)
+		}
+		c.send(packet.Packet{Kind: packet.KindConfirm, Ticket: k.ticket, Request: k.request})
+		c.finish(func() { c.answered++ })
+	}
+}
+
+// check compares outcomes with executions. Call it when nothing is in progress any more.
+func (w *world) check() {
+	for _, c := range w.callers {
+		for id, reason := range c.notRun {
+			if w.runs[id] > 0 {
+				w.fault("%s was answered with not run (%s) but ran %d times", id, reason, w.runs[id])
+			}
+		}
+	}
+}
--- /dev/null
+++ b/io/transport/operator/metrics.go
@@ -0,0 +1,177 @@
+package operator
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"go.opentelemetry.io/otel/attribute"
+	exporter "go.opentelemetry.io/otel/exporters/prometheus"
+	otelmetric "go.opentelemetry.io/otel/metric"
+	sdk "go.opentelemetry.io/otel/sdk/metric"
+
+	"cornellb/core/state/metric"
+	"cornellb/core/state/packet"
+)
+
+// maxCustomers bounds the number of customers with histograms of their own. Further ones share the label "other", so
+// that callers cannot grow the process by inventing customers.
+const maxCustomers = 1000
+
+// latencyBounds are the histogram boundaries, in seconds.
+var latencyBounds = []float64{.0005, .001, .002, .005, .01, .02, .05, .1, .2, .5, 1, 2, 5, 10}
+
+type counterKey struct {
+	counter metric.Counter
+	label   string
+}
+
+type histogramKey struct {
+	histogram metric.Histogram
+	customer  string
+	class     packet.Class
+}
+
+// Metrics records the counters and histograms of the decision core as OpenTelemetry instruments.
+type Metrics struct {
+	Registry   *prometheus.Registry
+	provider   *sdk.MeterProvider
+	meter      otelmetric.Meter
+	counters   atomic.Pointer[map[counterKey]*atomic.Int64] // copied on write, so that counting takes no lock
+	histograms map[metric.Histogram]otelmetric.Float64Histogram
+
+	mu        sync.RWMutex // guards the fields below
+	exported  map[metric.Counter]bool
+	options   map[histogramKey]otelmetric.MeasurementOption
+	customers map[string]bool
+}
+
+// NewMetrics returns metrics without any counts. The host and its failure domain are labels of every instrument.
+func NewMetrics(host, failureDomain string) (*Metrics, error) {
+	registry := prometheus.NewRegistry()
+	reader, err := exporter.New(exporter.WithRegisterer(registry), exporter.WithoutScopeInfo(),
+		exporter.WithNamespace("cornellb"))
+	if err != nil {
+		return nil, errors.Wrap(err, "create the Prometheus exporter")
+	}
+	m := &Metrics{
+		Registry:   registry,
+		provider:   sdk.NewMeterProvider(sdk.WithReader(reader)),
+		histograms: make(map[metric.Histogram]otelmetric.Float64Histogram),
+		exported:   make(map[metric.Counter]bool),
+		options:    make(map[histogramKey]otelmetric.MeasurementOption),
+		customers:  make(map[string]bool),
+	}
+	m.meter = m.provider.Meter("cornellb", otelmetric.WithInstrumentationAttributes(
+		attribute.String("host", host), attribute.String("failure_domain", failureDomain)))
+	m.counters.Store(&map[counterKey]*atomic.Int64{})
+	for _, name := range []metric.Histogram{metric.Latency, metric.QueueTime} {
+		h, err := m.meter.Float64Histogram(string(name), otelmetric.WithExplicitBucketBoundaries(latencyBounds...))
+		if err != nil {
+			return nil, errors.Wrapf(err, "create histogram %s", name)
+		}
+		m.histograms[name] = h
+	}
+	return m, nil
+}
+
+// Count adds n to a counter.
+func (m *Metrics) Count(c metric.Counter, label string, n int64) {
+	key := counterKey{c, label}
+	if v := (*m.counters.Load())[key]; v != nil {
+		v.Add(n)
+		return
+	}
+	m.addCounter(key).Add(n)
+}
+
+// Value returns the present value of a counter.
+func (m *Metrics) Value(c metric.Counter, label string) int64 {
+	if v := (*m.counters.Load())[counterKey{c, label}]; v != nil {
+		return v.Load()
+	}
+	return 0
+}
+
+// Total returns the sum of a counter over its labels.
+func (m *Metrics) Total(c metric.Counter) int64 {
+	var sum int64
+	for key, v := range *m.counters.Load() {
+		if key.counter == c {
+			sum += v.Load()
+		}
+	}
+	return sum
+}
+
+func (m *Metrics) addCounter(key counterKey) *atomic.Int64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	old := *m.counters.Load()
+	if v := old[key]; v != nil {
+		return v
+	}
+	next := make(map[counterKey]*atomic.Int64, len(old)+1)
+	for k, v := range old {
+		next[k] = v
+	}
+	v := new(atomic.Int64)
+	next[key] = v
+	m.counters.Store(&next)
+	if !m.exported[key.counter] {
+		m.exported[key.counter] = true
+		m.export(key.counter)
+	}
+	return v
+}
+
+// export registers a counter with OpenTelemetry. Its values are read at collection.
+func (m *Metrics) export(c metric.Counter) {
+	observe := func(_ context.Context, o otelmetric.Int64Observer) error {
+		for key, v := range *m.counters.Load() {
+			if key.counter == c {
+				o.Observe(v.Load(), otelmetric.WithAttributes(attribute.String("label", key.label)))
+			}
+		}
+		return nil
+	}
+	// The only cause of an error is an invalid name, and all names are constants.
+	_, _ = m.meter.Int64ObservableCounter(string(c), otelmetric.WithInt64Callback(observe))
+}
+
+// Observe records a duration in a histogram of the customer and the class.
+func (m *Metrics) Observe(h metric.Histogram, customer string, class packet.Class, d time.Duration) {
+	m.histograms[h].Record(context.Background(), d.Seconds(), m.option(histogramKey{h, customer, class}))
+}
+
+func (m *Metrics) option(key histogramKey) otelmetric.MeasurementOption {
+	m.mu.RLock()
+	o := m.options[key]
+	m.mu.RUnlock()
+	if o != nil {
+		return o
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.customers[key.customer] && len(m.customers) >= maxCustomers {
+		key.customer = "other"
+	}
+	m.customers[key.customer] = true
+	o = otelmetric.WithAttributeSet(attribute.NewSet(
+		attribute.String("customer", key.customer), attribute.String("class", key.class.String())))
+	m.options[key] = o
+	return o
+}
+
+// Gauge registers a value that is read at collection.
+func (m *Metrics) Gauge(name string, read func() int64) error {
+	_, err := m.meter.Int64ObservableGauge(name, otelmetric.WithInt64Callback(
+		func(_ context.Context, o otelmetric.Int64Observer) error {
+			o.Observe(read())
+			return nil
+		}))
+	return errors.Wrapf(err, "create gauge %s", name)
+}
