Add the connections to backend servers

The owner needs one TCP connection per endpoint and exact knowledge of what was written, since a request that is not idempotent may be sent again only if it certainly did not start. A connection keeps the offset of each frame in the batch being written, so that frames beyond the bytes that the kernel took are returned as unsent.

--- /dev/null
+++ b/io/transport/backend/backend.go
@@ -0,0 +1,192 @@
+package backend
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"cornellb/core/state/packet"
+)
+
+const (
+	pingInterval   = time.Second
+	silenceLimit   = 3 * time.Second
+	checkInterval  = 250 * time.Millisecond
+	minBackoff     = 50 * time.Millisecond
+	maxBackoff     = 2 * time.Second
+	dialTimeout    = 2 * time.Second
+	defaultFrames  = 1024
+	defaultBytes   = 4 << 20
+	retainBytes    = 1 << 20 // a larger write buffer is released after use
+	readBufferSize = 64 << 10
+)
+
+// Clock tells the time and makes timers.
+type Clock interface {
+	Now() time.Time
+	After(d time.Duration) <-chan time.Time
+}
+
+// SystemClock is the real clock.
+type SystemClock struct{}
+
+// Now returns the current time.
+func (SystemClock) Now() time.Time { return time.Now() }
+
+// After returns a channel that receives the time after d.
+func (SystemClock) After(d time.Duration) <-chan time.Time { return time.After(d) }
+
+// Dialer opens connections. It must return when the context ends.
+type Dialer interface {
+	DialContext(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+// Handler receives frames and connection changes. See the package comment for the order of calls.
+type Handler interface {
+	// BackendUp reports a connection that is ready for frames.
+	BackendUp(endpoint netip.AddrPort, service string, incarnation uint64, busy uint32, leaving bool)
+	// HandleBackend receives a frame. The frame is valid until HandleBackend returns; its payload may be kept.
+	HandleBackend(endpoint netip.AddrPort, m *packet.Backend)
+	// BackendDown reports the end of a connection or a failed attempt to connect. No byte of the frames in unsent was
+	// passed to the kernel. Every other frame that Send accepted may have been received.
+	BackendDown(endpoint netip.AddrPort, err error, unsent []*packet.Backend)
+}
+
+// Settings configure the transport. Zero values select defaults.
+type Settings struct {
+	QueueFrames int    // largest number of frames that wait for one connection's writer
+	QueueBytes  int    // number of waiting bytes from which on no frame is accepted
+	Dialer      Dialer // opens connections; net.Dialer by default
+}
+
+// Counters count since the start, over all endpoints.
+type Counters struct {
+	Dials          uint64
+	DialErrors     uint64
+	Ups            uint64
+	Downs          uint64 // ends of connections that were up
+	Silences       uint64 // connections replaced for silence
+	WrongServices  uint64 // connections that ended for the wrong service
+	FramesSent     uint64 // frames passed to the kernel completely, with pings
+	BytesSent      uint64
+	FramesReceived uint64
+	RefusedDown    uint64 // sends refused without a connection
+	RefusedFull    uint64 // sends refused for a full queue
+	RefusedService uint64 // sends refused for the wrong service
+	Unsent         uint64 // frames returned by BackendDown
+}
+
+type counters struct {
+	dials, dialErrors, ups, downs, silences, wrongServices atomic.Uint64
+	framesSent, bytesSent, framesReceived                  atomic.Uint64
+	refusedDown, refusedFull, refusedService, unsent       atomic.Uint64
+}
+
+// Transport keeps the connections. It is safe for concurrent use.
+type Transport struct {
+	settings Settings
+	clock    Clock
+	logger   *slog.Logger
+	handler  Handler
+	counters counters
+	running  sync.WaitGroup
+
+	mu     sync.RWMutex
+	closed bool
+	links  map[netip.AddrPort]*link
+}
+
+// New returns a transport without connections.
+func New(s Settings, c Clock, logger *slog.Logger, h Handler) *Transport {
+	if s.QueueFrames <= 0 {
+		s.QueueFrames = defaultFrames
+	}
+	if s.QueueBytes <= 0 {
+		s.QueueBytes = defaultBytes
+	}
+	if s.Dialer == nil {
+		s.Dialer = &net.Dialer{Timeout: dialTimeout}
+	}
+	return &Transport{settings: s, clock: c, logger: logger, handler: h, links: map[netip.AddrPort]*link{}}
+}
+
+// Want asks for a connection to the endpoint that belongs to the service. If the endpoint was wanted for another
+// service, its connection is replaced. Want does not block.
+func (t *Transport) Want(endpoint netip.AddrPort, service string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.closed {
+		return
+	}
+	l := t.links[endpoint]
+	if l == nil {
+		l = &link{transport: t, endpoint: endpoint}
+		t.links[endpoint] = l
+		t.running.Go(l.run)
+	} else if l.wanted && l.service == service {
+		return
+	}
+	l.want(service)
+}
+
+// Forget ends the connection to the endpoint. BackendDown follows if it was up. Forget does not block.
+func (t *Transport) Forget(endpoint netip.AddrPort) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if l := t.links[endpoint]; l != nil {
+		l.forget()
+	}
+}
+
+// Send queues a frame. The transport keeps m until it is written or returned by BackendDown, so the caller must not
+// change it or reuse its payload. An error means that nothing of the frame was or will be written.
+func (t *Transport) Send(endpoint netip.AddrPort, m *packet.Backend) error {
+	t.mu.RLock()
+	l := t.links[endpoint]
+	t.mu.RUnlock()
+	if l == nil {
+		t.counters.refusedDown.Add(1)
+		return &NotConnectedError{Endpoint: endpoint}
+	}
+	return l.send(m)
+}
+
+// SendBackend is Send under the name that the interfaces of the core use.
+func (t *Transport) SendBackend(endpoint netip.AddrPort, m *packet.Backend) error {
+	return t.Send(endpoint, m)
+}
+
+// Counters returns the current counts.
+func (t *Transport) Counters() Counters {
+	c := &t.counters
+	return Counters{
+		Dials:          c.dials.Load(),
+		DialErrors:     c.dialErrors.Load(),
+		Ups:            c.ups.Load(),
+		Downs:          c.downs.Load(),
+		Silences:       c.silences.Load(),
+		WrongServices:  c.wrongServices.Load(),
+		FramesSent:     c.framesSent.Load(),
+		BytesSent:      c.bytesSent.Load(),
+		FramesReceived: c.framesReceived.Load(),
+		RefusedDown:    c.refusedDown.Load(),
+		RefusedFull:    c.refusedFull.Load(),
+		RefusedService: c.refusedService.Load(),
+		Unsent:         c.unsent.Load(),
+	}
+}
+
+// Close ends all connections and waits until no goroutine of the transport is left. It must not be called by a handler.
+func (t *Transport) Close() {
+	t.mu.Lock()
+	t.closed = true
+	for _, l := range t.links {
+		l.forget()
+	}
+	t.mu.Unlock()
+	t.running.Wait()
+}
--- /dev/null
+++ b/io/transport/backend/backend_test.go
@@ -0,0 +1,263 @@
+package backend
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"net/netip"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"cornellb/core/state/packet"
+	"cornellb/io/protocol/wire"
+
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+var endpoint = netip.MustParseAddrPort("127.0.0.1:7001")
+
+// event is one handler call. A call without error and frame is BackendUp.
+type event struct {
+	at     time.Time
+	frame  *packet.Backend
+	err    error
+	unsent []*packet.Backend
+}
+
+// recorder is a handler that keeps its calls and checks their order.
+type recorder struct {
+	t      testing.TB
+	events chan event
+	busy   sync.Mutex
+	isUp   bool
+}
+
+func newRecorder(t testing.TB) *recorder { return &recorder{t: t, events: make(chan event, 1<<16)} }
+
+func (r *recorder) record(e event, order func() bool) {
+	if !r.busy.TryLock() {
+		r.t.Error("two handler calls at once for one endpoint")
+		return
+	}
+	defer r.busy.Unlock()
+	if !order() {
+		r.t.Error("handler call out of order")
+	}
+	e.at = time.Now()
+	r.events <- e
+}
+
+func (r *recorder) BackendUp(netip.AddrPort, string, uint64, uint32, bool) {
+	r.record(event{}, func() bool { was := r.isUp; r.isUp = true; return !was })
+}
+
+func (r *recorder) HandleBackend(_ netip.AddrPort, m *packet.Backend) {
+	r.record(event{frame: m}, func() bool { return r.isUp })
+}
+
+func (r *recorder) BackendDown(_ netip.AddrPort, err error, unsent []*packet.Backend) {
+	r.record(event{err: err, unsent: unsent}, func() bool { r.isUp = false; return err != nil })
+}
+
+// await returns the next event that is not a frame.
+func (r *recorder) await() event {
+	for {
+		if e := <-r.events; e.frame == nil {
+			return e
+		}
+	}
+}
+
+// pipes is a dialer whose connections are served by a function.
+type pipes func(server net.Conn)
+
+func (p pipes) DialContext(context.Context, string, string) (net.Conn, error) {
+	client, server := net.Pipe()
+	go func() {
+		defer server.Close()
+		p(server)
+	}()
+	return client, nil
+}
+
+// refuser is a dialer that fails and keeps the times.
+type refuser struct{ at []time.Time }
+
+func (d *refuser) DialContext(context.Context, string, string) (net.Conn, error) {
+	d.at = append(d.at, time.Now())
+	return nil, errors.New("refused")
+}
+
+func reply(conn net.Conn, m *packet.Backend) {
+	b, _ := wire.AppendBackend(nil, m)
+	_, _ = conn.Write(b)
+}
+
+// serveUntil answers Hello with the service, and pings until the given time; it passes other frames to see.
+func serveUntil(conn net.Conn, service string, end time.Time, see func(m *packet.Backend)) {
+	r := bufio.NewReader(conn)
+	for {
+		var m packet.Backend
+		if wire.ReadBackend(r, &m) != nil {
+			return
+		}
+		switch {
+		case m.Kind == packet.BackendHello:
+			reply(conn, &packet.Backend{Kind: packet.BackendIdentity, Service: service, Incarnation: 1})
+		case m.Kind == packet.BackendPing && time.Now().Before(end):
+			reply(conn, &packet.Backend{Kind: packet.BackendPong})
+		case m.Kind != packet.BackendPing:
+			see(&m)
+		}
+	}
+}
+
+func ignore(*packet.Backend) {}
+
+func start(t testing.TB, d Dialer, s Settings) (*Transport, *recorder) {
+	s.Dialer = d
+	r := newRecorder(t)
+	return New(s, SystemClock{}, slog.New(slog.DiscardHandler), r), r
+}
+
+// TestSilence guards against a connection that is kept although its peer stopped answering, and against one that is
+// replaced although its peer answers pings.
+func TestSilence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		begin := time.Now()
+		tr, r := start(t, pipes(func(conn net.Conn) {
+			serveUntil(conn, "chamber", begin.Add(10*time.Second), ignore)
+		}), Settings{})
+		tr.Want(endpoint, "chamber")
+		is.NoErr(r.await().err)
+		down := r.await()
+		var silence *SilenceError
+		is.True(errors.As(down.err, &silence))
+		last := begin.Add(9 * time.Second) // of the last ping before the peer went silent
+		is.True(down.at.Sub(last) >= silenceLimit)
+		is.True(down.at.Sub(last) <= silenceLimit+pingInterval)
+		up := r.await()
+		is.NoErr(up.err)
+		is.True(up.at.Sub(down.at) <= maxBackoff)
+		is.Equal(tr.Counters().Silences, uint64(1))
+		tr.Close()
+	})
+}
+
+// TestNoIdentity guards against an endpoint that accepts connections, never answers Hello and is waited for forever.
+func TestNoIdentity(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		tr, r := start(t, pipes(func(conn net.Conn) {
+			_, _ = conn.Read(make([]byte, 100))
+			_, _ = conn.Read(make([]byte, 100))
+		}), Settings{})
+		tr.Want(endpoint, "chamber")
+		var silence *SilenceError
+		is.True(errors.As(r.await().err, &silence))
+		tr.Close()
+	})
+}
+
+// TestPauseIsNotSilence guards against a process that was paused and then replaces all its connections at once.
+func TestPauseIsNotSilence(t *testing.T) {
+	is := is.New(t)
+	begin := time.Unix(1000, 0)
+	w := silenceWatch{last: begin, pinged: begin}
+	is.Equal(w.check(begin.Add(checkInterval), begin), checkInterval)
+	resumed := begin.Add(time.Minute)
+	is.Equal(w.check(resumed, begin), time.Duration(0))
+	is.Equal(w.check(resumed.Add(checkInterval), begin), checkInterval)
+}
+
+// TestWrongService guards against a frame that reaches a backend server of another service.
+func TestWrongService(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		see := func(m *packet.Backend) { t.Errorf("frame of kind %d reached the wrong service", m.Kind) }
+		tr, r := start(t, pipes(func(conn net.Conn) {
+			serveUntil(conn, "chamber", time.Now().Add(time.Hour), see)
+		}), Settings{})
+		run := &packet.Backend{Kind: packet.BackendRun, Service: "certificate"}
+		tr.Want(endpoint, "certificate")
+		var wrong *WrongServiceError
+		is.True(errors.As(r.await().err, &wrong))
+		is.Equal(wrong.Actual, "chamber")
+		is.True(errors.As(tr.Send(endpoint, run), &wrong))
+		tr.Want(endpoint, "chamber")
+		for r.await().err != nil {
+			continue
+		}
+		is.True(errors.As(tr.Send(endpoint, run), &wrong))
+		synctest.Wait()
+		tr.Close()
+		var notConnected *NotConnectedError
+		is.True(errors.As(tr.Send(endpoint, run), &notConnected))
+	})
+}
+
+// TestQueueBound guards against a peer that stops reading and makes the queue grow, and against accepted frames that
+// are lost without a word.
+func TestQueueBound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		tr, r := start(t, pipes(func(conn net.Conn) {
+			_, _ = conn.Read(make([]byte, 100))
+			reply(conn, &packet.Backend{Kind: packet.BackendIdentity, Service: "chamber"})
+			time.Sleep(time.Minute)
+		}), Settings{QueueFrames: 10})
+		tr.Want(endpoint, "chamber")
+		is.NoErr(r.await().err)
+		accepted := 0
+		var err error
+		for err == nil {
+			if err = tr.Send(endpoint, &packet.Backend{Kind: packet.BackendRun, Attempt: uint64(accepted + 1)}); err == nil {
+				accepted++
+				synctest.Wait()
+			}
+		}
+		var full *QueueFullError
+		is.True(errors.As(err, &full))
+		is.Equal(accepted, 11) // one is being written
+		down := r.await()
+		is.Equal(len(down.unsent), accepted) // the pipe took no byte
+		tr.Forget(endpoint)
+		synctest.Wait()
+		tr.Close()
+		time.Sleep(time.Minute)
+	})
+}
+
+// TestBackoff guards against a refusing endpoint that is dialled without pause, or dialled again after Forget.
+func TestBackoff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := &refuser{}
+		tr, r := start(t, d, Settings{})
+		tr.Want(endpoint, "chamber")
+		time.Sleep(30 * time.Second)
+		tr.Forget(endpoint)
+		synctest.Wait()
+		dials := len(d.at)
+		time.Sleep(30 * time.Second)
+		is.Equal(len(d.at), dials)
+		is.Equal(len(r.events), dials)
+		limit := minBackoff
+		for i := 1; i < dials; i++ {
+			gap := d.at[i].Sub(d.at[i-1])
+			is.True(gap >= limit/2)
+			is.True(gap <= limit)
+			limit = min(2*limit, maxBackoff)
+		}
+		is.True(dials >= 15)
+		tr.Close()
+	})
+}
