--- a/io/protocol/wire/packet.go
+++ b/io/protocol/wire/packet.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"math"
 	"net/netip"
 
 	"cornellb/core/state/packet"
@@ -118,6 +119,7 @@
 	envelopeService = 2
 	envelopePacket  = 3
 	forwardHops     = 4
+	forwardSpill    = 5
 )
 
 // AppendEnvelope appends the encoded envelope to dst and returns the extended slice.
@@ -162,7 +164,8 @@
 // AppendForward appends the encoded forward to dst and returns the extended slice.
 func AppendForward(dst []byte, f *packet.Forward) []byte {
 	dst = AppendEnvelope(dst, &f.Envelope)
-	return appendUint(dst, forwardHops, uint64(f.Hops))
+	dst = appendUint(dst, forwardHops, uint64(f.Hops))
+	return appendUint(dst, forwardSpill, uint64(f.Spill))
 }
 
 // DecodeForward overwrites f with the decoded forward. The packet aliases b and is not decoded. Both addresses are
@@ -174,11 +177,14 @@
 	}
 	r := reader{rest: b}
 	for r.next() {
-		if r.key == forwardHops<<3|typeVarint {
+		switch r.key {
+		case forwardHops<<3 | typeVarint:
 			f.Hops = uint8(r.uint32("hops", packet.MaxHops))
-			continue
+		case forwardSpill<<3 | typeVarint:
+			f.Spill = uint8(r.uint32("spill", math.MaxUint8))
+		default:
+			envelopeField(&r, &f.Envelope)
 		}
-		envelopeField(&r, &f.Envelope)
 	}
 	requireAddress(&r, "caller", f.Caller)
 	requireAddress(&r, "service", f.Service)
