Harden the caller socket and the backend connections

The core passes the service address with each packet to a caller, so the envelope to the fabric carries it and decoding requires it again. Run and Subscribe are refused unless they name the service of the endpoint. Backoff starts again only after a connection was up for the longest backoff: before, an endpoint that swallows packets was dialled anew 50 ms after each dial timeout.

Tests now also cover a slow handler, unexpected frames, an Identity after the end of its connection, concurrent use of the ticket codec and tickets of the largest size.

--- a/io/protocol/wire/packet.go
+++ b/io/protocol/wire/packet.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"net/netip"
 
 	"cornellb/core/state/packet"
 )
@@ -129,8 +128,8 @@
 	return appendBytes(dst, envelopePacket, e.Packet)
 }
 
-// DecodeEnvelope overwrites e with the decoded envelope. The packet aliases b and is not decoded. The caller is
-// required; the service address is absent in envelopes to the fabric. The error is a *DecodeError; e is not usable then.
+// DecodeEnvelope overwrites e with the decoded envelope. The packet aliases b and is not decoded. Both addresses are
+// required. The error is a *DecodeError; e is not usable then.
 func (d *Decoder) DecodeEnvelope(b []byte, e *packet.Envelope) error {
 	*e = packet.Envelope{}
 	if len(b) > packet.MaxDatagramBytes+MaxEnvelopeOverheadBytes {
@@ -140,7 +139,7 @@
 	for r.next() {
 		envelopeField(&r, e)
 	}
-	requireAddress(&r, "caller", e.Caller)
+	requireAddresses(&r, e)
 	return r.err("Envelope")
 }
 
@@ -155,9 +154,12 @@
 	}
 }
 
-func requireAddress(r *reader, field string, a netip.AddrPort) {
-	if !a.IsValid() {
-		r.fail(field, ReasonLength)
+func requireAddresses(r *reader, e *packet.Envelope) {
+	if !e.Caller.IsValid() {
+		r.fail("caller", ReasonLength)
+	}
+	if !e.Service.IsValid() {
+		r.fail("service", ReasonLength)
 	}
 }
 
@@ -186,7 +188,6 @@
 			envelopeField(&r, &f.Envelope)
 		}
 	}
-	requireAddress(&r, "caller", f.Caller)
-	requireAddress(&r, "service", f.Service)
+	requireAddresses(&r, &f.Envelope)
 	return r.err("Forward")
 }
--- a/io/protocol/wire/wire_test.go
+++ b/io/protocol/wire/wire_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net/netip"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -148,8 +149,10 @@
 		is.Equal(p, wantPacket)
 
 		var f packet.Forward
-		want := packet.Forward{Hops: uint8(rapid.IntRange(0, packet.MaxHops).Draw(t, "hops")), Spill: uint8(rapid.IntRange(0, 255).Draw(t, "spill")), Envelope: packet.Envelope{
-			Caller: address(t, "caller"), Service: address(t, "service"), Packet: AppendPacket(nil, &p)}}
+		want := packet.Forward{
+			Envelope: packet.Envelope{
+				Caller: address(t, "caller"), Service: address(t, "service"), Packet: AppendPacket(nil, &p)},
+			Hops: rapid.Uint8Range(0, packet.MaxHops).Draw(t, "hops"), Spill: rapid.Uint8().Draw(t, "spill")}
 		b = encodeGenerated(t, &datagram.Forward{Caller: generatedAddress(want.Caller),
 			Service: generatedAddress(want.Service), Packet: want.Packet, Hops: uint32(want.Hops), Spill: uint32(want.Spill)})
 		is.Equal(AppendForward(nil, &want), b)
@@ -270,6 +273,32 @@
 	}
 }
 
+// TestTicketCodecIsShared guards against state that concurrent calls mix up, and against valid tickets with the longest
+// names that are refused for their length.
+func TestTicketCodecIsShared(t *testing.T) {
+	is := is.New(t)
+	c, want, _ := sealed(is)
+	long := strings.Repeat("n", packet.MaxNameBytes)
+	want.Service, want.Customer, want.Shard = long, long, flow.ShardKey{Pool: long, FailureDomain: long, Group: 1 << 31}
+	want.Endpoint = netip.MustParseAddrPort("[2001:db8::1]:65535")
+	want.Grant.Serial = 1 << 63
+	want.IssuedAt = time.Unix(maxIssuedAt, 0).UTC()
+	var workers sync.WaitGroup
+	for i := range 8 {
+		workers.Go(func() {
+			k, got := want, flow.Ticket{}
+			k.Flow[0] = byte(i)
+			for range 500 {
+				if err := c.Open(c.Seal(&k), &got); err != nil || got != k {
+					t.Errorf("opened %+v with error %v", got, err)
+					return
+				}
+			}
+		})
+	}
+	workers.Wait()
+}
+
 // TestDecodeLimits guards against values beyond their limits that reach the core.
 func TestDecodeLimits(t *testing.T) {
 	tests := map[string]struct {
--- a/io/transport/backend/backend.go
+++ b/io/transport/backend/backend.go
@@ -48,7 +48,7 @@
 // Handler receives frames and connection changes. See the package comment for the order of calls.
 type Handler interface {
 	// BackendUp reports a connection that is ready for frames.
-	BackendUp(endpoint netip.AddrPort, service string, incarnation uint64, busy uint32, leaving bool)
+	BackendUp(endpoint netip.AddrPort, service string, incarnation uint64, busy int, leaving bool)
 	// HandleBackend receives a frame. The frame is valid until HandleBackend returns; its payload may be kept.
 	HandleBackend(endpoint netip.AddrPort, m *packet.Backend)
 	// BackendDown reports the end of a connection or a failed attempt to connect. No byte of the frames in unsent was
@@ -142,8 +142,10 @@
 	}
 }
 
-// Send queues a frame. The transport keeps m until it is written or returned by BackendDown, so the caller must not
-// change it or reuse its payload. An error means that nothing of the frame was or will be written.
+// Send queues a frame. Run and Subscribe must name the service of the endpoint, so that no work reaches a backend
+// server of another service even if tables change between the caller's decision and the call. The transport keeps m
+// until it is written or returned by BackendDown, so the caller must not change it or reuse its payload. An error means
+// that nothing of the frame was or will be written.
 func (t *Transport) Send(endpoint netip.AddrPort, m *packet.Backend) error {
 	t.mu.RLock()
 	l := t.links[endpoint]
@@ -155,11 +157,6 @@
 	return l.send(m)
 }
 
-// SendBackend is Send under the name that the interfaces of the core use.
-func (t *Transport) SendBackend(endpoint netip.AddrPort, m *packet.Backend) error {
-	return t.Send(endpoint, m)
-}
-
 // Counters returns the current counts.
 func (t *Transport) Counters() Counters {
 	c := &t.counters
--- a/io/transport/backend/backend_test.go
+++ b/io/transport/backend/backend_test.go
@@ -37,6 +37,7 @@
 	events chan event
 	busy   sync.Mutex
 	isUp   bool
+	delay  time.Duration // of each call
 }
 
 func newRecorder(t testing.TB) *recorder { return &recorder{t: t, events: make(chan event, 1<<16)} }
@@ -50,11 +51,12 @@
 	if !order() {
 		r.t.Error("handler call out of order")
 	}
+	time.Sleep(r.delay)
 	e.at = time.Now()
 	r.events <- e
 }
 
-func (r *recorder) BackendUp(netip.AddrPort, string, uint64, uint32, bool) {
+func (r *recorder) BackendUp(netip.AddrPort, string, uint64, int, bool) {
 	r.record(event{}, func() bool { was := r.isUp; r.isUp = true; return !was })
 }
 
@@ -178,6 +180,52 @@
 	is.Equal(w.check(resumed.Add(checkInterval), begin), checkInterval)
 }
 
+// TestSlowHandler guards against a connection that is replaced because this process is slow to read.
+func TestSlowHandler(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		tr, r := start(t, pipes(func(conn net.Conn) {
+			serveUntil(conn, "chamber", time.Now().Add(time.Hour), ignore)
+		}), Settings{})
+		r.delay = 2 * silenceLimit
+		tr.Want(endpoint, "chamber")
+		time.Sleep(time.Minute)
+		is.Equal(tr.Counters().Downs, uint64(0))
+		tr.Close()
+	})
+}
+
+// TestUnexpectedFrame guards against a peer whose frames make no sense and that stays connected.
+func TestUnexpectedFrame(t *testing.T) {
+	identity := &packet.Backend{Kind: packet.BackendIdentity, Service: "chamber"}
+	tests := map[string][]*packet.Backend{
+		"answer before identity": {{Kind: packet.BackendAnswer}},
+		"echoed hello":           {{Kind: packet.BackendHello, Service: "chamber"}},
+		"second identity":        {identity, identity},
+		"run":                    {identity, {Kind: packet.BackendRun, Service: "chamber"}},
+	}
+	for name, frames := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				tr, r := start(t, pipes(func(conn net.Conn) {
+					_, _ = conn.Read(make([]byte, 100))
+					for _, m := range frames {
+						reply(conn, m)
+					}
+				}), Settings{})
+				tr.Want(endpoint, "chamber")
+				e := r.await()
+				for e.err == nil {
+					e = r.await()
+				}
+				var unexpected *FrameError
+				is.New(t).True(errors.As(e.err, &unexpected))
+				tr.Close()
+			})
+		})
+	}
+}
+
 // TestWrongService guards against a frame that reaches a backend server of another service.
 func TestWrongService(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -216,19 +264,14 @@
 		}), Settings{QueueFrames: 10})
 		tr.Want(endpoint, "chamber")
 		is.NoErr(r.await().err)
-		accepted := 0
-		var err error
-		for err == nil {
-			if err = tr.Send(endpoint, &packet.Backend{Kind: packet.BackendRun, Attempt: uint64(accepted + 1)}); err == nil {
-				accepted++
-				synctest.Wait()
-			}
+		run := &packet.Backend{Kind: packet.BackendRun, Service: "chamber"}
+		for range 11 { // one is being written
+			is.NoErr(tr.Send(endpoint, run))
+			synctest.Wait()
 		}
 		var full *QueueFullError
-		is.True(errors.As(err, &full))
-		is.Equal(accepted, 11) // one is being written
-		down := r.await()
-		is.Equal(len(down.unsent), accepted) // the pipe took no byte
+		is.True(errors.As(tr.Send(endpoint, run), &full))
+		is.Equal(len(r.await().unsent), 11) // the pipe took no byte
 		tr.Forget(endpoint)
 		synctest.Wait()
 		tr.Close()
--- a/io/transport/backend/connection.go
+++ b/io/transport/backend/connection.go
@@ -65,6 +65,7 @@
 	// Valid after run returned.
 	unsent []*packet.Backend
 	wasUp  bool
+	upAt   time.Time
 }
 
 func newConnection(t *Transport, endpoint netip.AddrPort, service string, conn net.Conn) *connection {
@@ -159,10 +160,15 @@
 	return true
 }
 
+// startsWork reports whether the backend server does work for a frame of the kind.
+func startsWork(k packet.BackendKind) bool {
+	return k == packet.BackendRun || k == packet.BackendSubscribe
+}
+
 // send queues a frame of the core.
 func (c *connection) send(m *packet.Backend) error {
 	counters := &c.transport.counters
-	if m.Service != "" && m.Service != c.service {
+	if m.Service != c.service && (m.Service != "" || startsWork(m.Kind)) {
 		counters.refusedService.Add(1)
 		return &WrongServiceError{Endpoint: c.endpoint, Expected: m.Service, Actual: c.service}
 	}
@@ -287,7 +293,7 @@
 	c.transport.counters.ups.Add(1)
 	c.transport.logger.Info("backend connection up", "endpoint", c.endpoint, "service", m.Service,
 		"incarnation", m.Incarnation)
-	c.transport.handler.BackendUp(c.endpoint, m.Service, m.Incarnation, m.Busy, m.Leaving)
+	c.transport.handler.BackendUp(c.endpoint, m.Service, m.Incarnation, int(m.Busy), m.Leaving)
 	return nil
 }
 
@@ -299,6 +305,6 @@
 	if c.closed {
 		return false
 	}
-	c.up, c.wasUp = true, true
+	c.up, c.wasUp, c.upAt = true, true, c.transport.clock.Now()
 	return true
 }
--- a/io/transport/backend/link.go
+++ b/io/transport/backend/link.go
@@ -61,11 +61,9 @@
 		if !ok {
 			return
 		}
-		started := l.transport.clock.Now()
-		l.serve(ctx, service)
-		// A connection that ends soon after it began counts as a failure, so that a backend server that accepts and
+		// A connection that ends soon after it was up counts as a failure, so that a backend server that accepts and
 		// resets connections is not dialled without pause.
-		if l.transport.clock.Now().Sub(started) >= maxBackoff || ctx.Err() != nil {
+		if l.serve(ctx, service) >= maxBackoff || ctx.Err() != nil {
 			backoff = minBackoff
 		}
 		select {
@@ -79,21 +77,25 @@
 // jitter returns a duration between half of d and d, so that balancers do not reconnect in step.
 func jitter(d time.Duration) time.Duration { return d/2 + rand.N(d/2) }
 
-// serve makes one attempt to connect and handles the connection until it ends.
-func (l *link) serve(ctx context.Context, service string) {
+// serve makes one attempt to connect, handles the connection until it ends, and returns how long it was up.
+func (l *link) serve(ctx context.Context, service string) time.Duration {
 	t := l.transport
 	t.counters.dials.Add(1)
 	conn, err := t.settings.Dialer.DialContext(ctx, "tcp", l.endpoint.String())
 	if err != nil {
 		t.counters.dialErrors.Add(1)
 		l.down(ctx, &DialError{Endpoint: l.endpoint, Err: err}, nil, false)
-		return
+		return 0
 	}
 	c := newConnection(t, l.endpoint, service, conn)
 	l.current.Store(c)
 	err = c.run(ctx)
 	l.current.Store(nil)
 	l.down(ctx, err, c.unsent, c.wasUp)
+	if !c.wasUp {
+		return 0
+	}
+	return t.clock.Now().Sub(c.upAt)
 }
 
 // down reports the end of a connection or attempt. An attempt that Forget ended is not reported, since its endpoint is
--- a/io/transport/backend/reset_test.go
+++ b/io/transport/backend/reset_test.go
@@ -120,7 +120,7 @@
 	var accepted []*packet.Backend
 	payload := make([]byte, size)
 	for {
-		m := &packet.Backend{Kind: packet.BackendRun, Attempt: uint64(len(accepted) + 1), Payload: payload}
+		m := &packet.Backend{Kind: packet.BackendRun, Service: "chamber", Payload: payload}
 		err := tr.Send(to, m)
 		var full *QueueFullError
 		switch {
@@ -177,3 +177,19 @@
 	c := tr.Counters()
 	is.Equal(c.Ups, c.Downs)
 }
+
+// TestIdentityAfterEnd guards against a queue that an Identity reopens after its connection ended: frames accepted then
+// would be neither written nor reported.
+func TestIdentityAfterEnd(t *testing.T) {
+	is := is.New(t)
+	tr, r := start(t, &net.Dialer{}, Settings{})
+	client, server := net.Pipe()
+	defer server.Close()
+	c := newConnection(tr, endpoint, "chamber", client)
+	c.end()
+	var forgotten *ForgottenError
+	is.True(errors.As(c.identify(&packet.Backend{Kind: packet.BackendIdentity, Service: "chamber"}), &forgotten))
+	var notConnected *NotConnectedError
+	is.True(errors.As(c.send(&packet.Backend{Kind: packet.BackendCancel}), &notConnected))
+	is.Equal(len(r.events), 0)
+}
--- a/io/transport/caller/caller.go
+++ b/io/transport/caller/caller.go
@@ -51,8 +51,8 @@
 	Received          uint64
 	Sent              uint64
 	DroppedEnvelope   uint64 // received: the envelope cannot be decoded
-	DroppedNoService  uint64 // received: the envelope has no service address
 	DroppedPacket     uint64 // received: the packet cannot be decoded
+	DroppedNoAddress  uint64 // to send: the caller or the service has no address
 	DroppedTooLarge   uint64 // to send: above packet.MaxDatagramBytes
 	DroppedSocketFull uint64 // to send: the socket did not take it at once
 	DroppedSendError  uint64 // to send: another error of the socket
@@ -60,9 +60,8 @@
 }
 
 type counters struct {
-	received, sent                                             atomic.Uint64
-	envelope, noService, packet, tooLarge, socketFull, sendErr atomic.Uint64
-	readErr                                                    atomic.Uint64
+	received, sent, envelope, packet                  atomic.Uint64
+	noAddress, tooLarge, socketFull, sendErr, readErr atomic.Uint64
 }
 
 // Transport is the open socket. It is safe for concurrent use.
@@ -157,8 +156,8 @@
 		Received:          c.received.Load(),
 		Sent:              c.sent.Load(),
 		DroppedEnvelope:   c.envelope.Load(),
-		DroppedNoService:  c.noService.Load(),
 		DroppedPacket:     c.packet.Load(),
+		DroppedNoAddress:  c.noAddress.Load(),
 		DroppedTooLarge:   c.tooLarge.Load(),
 		DroppedSocketFull: c.socketFull.Load(),
 		DroppedSendError:  c.sendErr.Load(),
--- a/io/transport/caller/caller_test.go
+++ b/io/transport/caller/caller_test.go
@@ -17,7 +17,10 @@
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
-var loopback = netip.MustParseAddrPort("127.0.0.1:0")
+var (
+	loopback = netip.MustParseAddrPort("127.0.0.1:0")
+	service  = netip.MustParseAddrPort("192.0.2.1:7000")
+)
 
 type received struct {
 	envelope packet.Envelope
@@ -53,7 +56,7 @@
 
 func envelope(p *packet.Packet) []byte {
 	return wire.AppendEnvelope(nil, &packet.Envelope{Caller: netip.MustParseAddrPort("10.1.2.3:4000"),
-		Service: netip.MustParseAddrPort("192.0.2.1:7000"), Packet: wire.AppendPacket(nil, p)})
+		Service: service, Packet: wire.AppendPacket(nil, p)})
 }
 
 // TestReceive guards against a faulty datagram that stops the readers, reaches the handler or is not counted.
@@ -71,25 +74,25 @@
 	got := <-r
 	is.Equal(got.packet, want)
 	is.Equal(got.envelope.Caller.String(), "10.1.2.3:4000")
-	is.Equal(got.envelope.Service.String(), "192.0.2.1:7000")
+	is.Equal(got.envelope.Service, service)
 	for tr.Counters().Received < uint64(len(faulty)+1) { // another reader may still be at an earlier datagram
 		time.Sleep(time.Millisecond)
 	}
 	is.NoErr(tr.Close())
 	c := tr.Counters()
-	is.Equal(c.DroppedEnvelope, uint64(4))
-	is.Equal(c.DroppedNoService, uint64(1))
+	is.Equal(c.DroppedEnvelope, uint64(5))
 	is.Equal(c.DroppedPacket, uint64(1))
 }
 
-// TestSend guards against answers that do not reach the fabric, and against oversized or late sends that are not counted.
+// TestSend guards against answers that do not reach the fabric, and against sends that fail without being counted.
 func TestSend(t *testing.T) {
 	is := is.New(t)
 	tr, fabric := listen(t, &counter{})
 	want := packet.Packet{Kind: packet.KindAnswer, Payload: []byte("answer")}
 	to := netip.MustParseAddrPort("10.1.2.3:4000")
-	tr.SendCaller(to, &packet.Packet{Kind: packet.KindAnswer, Payload: make([]byte, 1300)})
-	tr.SendCaller(to, &want)
+	tr.SendCaller(service, to, &packet.Packet{Kind: packet.KindAnswer, Payload: make([]byte, 1300)})
+	tr.SendCaller(netip.AddrPort{}, to, &want)
+	tr.SendCaller(service, to, &want)
 	b := make([]byte, 2000)
 	n, err := fabric.Read(b)
 	is.NoErr(err)
@@ -99,11 +102,13 @@
 	is.NoErr(d.DecodeEnvelope(b[:n], &e))
 	is.NoErr(d.DecodePacket(e.Packet, &p))
 	is.Equal(e.Caller, to)
+	is.Equal(e.Service, service)
 	is.Equal(p, want)
 	is.NoErr(tr.Close())
-	tr.SendCaller(to, &want)
+	tr.SendCaller(service, to, &want)
 	c := tr.Counters()
 	is.Equal(c.Sent, uint64(1))
+	is.Equal(c.DroppedNoAddress, uint64(1))
 	is.Equal(c.DroppedTooLarge, uint64(1))
 	is.Equal(c.DroppedSendError, uint64(1))
 }
@@ -117,7 +122,7 @@
 	r := &receiver{decoder: wire.NewDecoder()}
 	is.Equal(testing.AllocsPerRun(1000, func() { tr.handle(r, in) }), 0.0)
 	s := newSender(tr) // not from the pool, since the race detector makes sync.Pool drop entries at random
-	is.Equal(testing.AllocsPerRun(1000, func() { s.send(loopback, &p) }), 0.0)
+	is.Equal(testing.AllocsPerRun(1000, func() { s.send(service, loopback, &p) }), 0.0)
 }
 
 func BenchmarkReceive(b *testing.B) {
@@ -136,6 +141,6 @@
 	p := packet.Packet{Kind: packet.KindAnswer, Payload: make([]byte, 200)}
 	b.ReportAllocs()
 	for b.Loop() {
-		tr.SendCaller(loopback, &p)
+		tr.SendCaller(service, loopback, &p)
 	}
 }
--- a/io/transport/caller/doc.go
+++ b/io/transport/caller/doc.go
@@ -4,7 +4,7 @@
 //
 //	t, err := caller.Listen(caller.Settings{Listen: listen, Fabric: fabric}, handler)
 //	...
-//	t.SendCaller(to, &p)
+//	t.SendCaller(service, to, &p)
 //	...
 //	err = t.Close()
 //
--- a/io/transport/caller/receive.go
+++ b/io/transport/caller/receive.go
@@ -57,10 +57,6 @@
 		t.counters.envelope.Add(1)
 		return
 	}
-	if !r.envelope.Service.IsValid() {
-		t.counters.noService.Add(1)
-		return
-	}
 	if r.decoder.DecodePacket(r.envelope.Packet, &r.packet) != nil {
 		t.counters.packet.Add(1)
 		return
--- a/io/transport/caller/send.go
+++ b/io/transport/caller/send.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"net/netip"
 	"syscall"
 
 	"cornellb/core/state/packet"
@@ -38,22 +39,26 @@
 	}
 }
 
-// SendCaller sends the packet to a caller by way of the fabric. It does not block and does not keep p. A packet that
-// cannot be sent is counted.
-func (t *Transport) SendCaller(to packet.CallerAddress, p *packet.Packet) {
+// SendCaller sends the packet to a caller by way of the fabric, which makes it come from the service address. It does
+// not block and does not keep p. A packet that cannot be sent is counted.
+func (t *Transport) SendCaller(service netip.AddrPort, to packet.CallerAddress, p *packet.Packet) {
 	s := t.senders.Get().(*sender)
-	s.send(to, p)
+	s.send(service, to, p)
 	t.senders.Put(s)
 }
 
-func (s *sender) send(to packet.CallerAddress, p *packet.Packet) {
+func (s *sender) send(service netip.AddrPort, to packet.CallerAddress, p *packet.Packet) {
 	t := s.transport
+	if !service.IsValid() || !to.IsValid() {
+		t.counters.noAddress.Add(1)
+		return
+	}
 	s.packet = wire.AppendPacket(s.packet[:0], p)
 	if len(s.packet) > packet.MaxDatagramBytes {
 		t.counters.tooLarge.Add(1)
 		return
 	}
-	e := packet.Envelope{Caller: to, Packet: s.packet}
+	e := packet.Envelope{Caller: to, Service: service, Packet: s.packet}
 	s.envelope = wire.AppendEnvelope(s.envelope[:0], &e)
 	if err := t.raw.Control(s.call); err != nil {
 		t.counters.sendErr.Add(1)
