--- /dev/null
+++ b/core/coordination/membership/heal.go
@@ -0,0 +1,87 @@
+package membership
+
+import (
+	"net/netip"
+	"slices"
+)
+
+// hintTries is the number of hint addresses that a process without any reachable member pings in each period.
+const hintTries = 3
+
+// tickHeal pings addresses that belong to no reachable member, so that the sides of a partition find each other again.
+// The ping names no incarnation and carries the opinion on the member last seen there, which that member overrules.
+func (m *Machine) tickHeal() {
+	if len(m.heal) > 0 && !m.now.Before(m.nextSuggested) && m.pingAddress(m.heal[0]) {
+		m.heal = m.heal[1:]
+		m.nextSuggested = m.now.Add(GossipInterval)
+	}
+	if m.now.Before(m.nextHeal) {
+		return
+	}
+	isAlone := len(m.near)+len(m.far) == 0
+	if !isAlone {
+		m.nextHeal = m.now.Add(healInterval)
+		m.pingCandidate()
+		return
+	}
+	m.nextHeal = m.now.Add(ProbePeriod)
+	for range hintTries {
+		m.pingCandidate()
+	}
+}
+
+// pingCandidate pings a dead member, the address of a forgotten one, or a hint, each in a third of the cases.
+func (m *Machine) pingCandidate() {
+	for range 3 {
+		var a netip.AddrPort
+		switch k := m.random.IntN(3); {
+		case k == 0 && len(m.dead) > 0:
+			a = m.dead[m.random.IntN(len(m.dead))].host.Address
+		case k == 1 && len(m.former) > 0:
+			a = m.former[m.random.IntN(len(m.former))]
+		case len(m.hints) > 0:
+			a = m.hints[m.random.IntN(len(m.hints))]
+		}
+		if a.IsValid() && a != m.self.Address && !m.isReachableAddress(a) {
+			m.pingAddress(a)
+			return
+		}
+	}
+}
+
+func (m *Machine) pingAddress(a netip.AddrPort) bool {
+	m.sequence++
+	return m.send(a, &Message{Kind: KindPing, Sequence: m.sequence}, m.deadAt(a), priorityChange)
+}
+
+// deadAt returns the newest record of a dead member at an address, or nil.
+func (m *Machine) deadAt(a netip.AddrPort) *record {
+	for _, r := range slices.Backward(m.dead) {
+		if r.host.Address == a {
+			return r
+		}
+	}
+	return nil
+}
+
+func (m *Machine) isReachableAddress(a netip.AddrPort) bool {
+	return slices.ContainsFunc(m.sorted, func(r *record) bool { return r.index >= 0 && r.host.Address == a })
+}
+
+// suggestHeal asks for a ping to a member that somebody else holds alive and this process holds dead.
+func (m *Machine) suggestHeal(a netip.AddrPort) {
+	if len(m.heal) < maxHeal && !slices.Contains(m.heal, a) {
+		m.heal = append(m.heal, a)
+	}
+}
+
+// rememberAddress keeps the address of a forgotten member. Beyond maxFormer a random one is replaced.
+func (m *Machine) rememberAddress(a netip.AddrPort) {
+	switch {
+	case slices.Contains(m.former, a):
+	case len(m.former) < maxFormer:
+		m.former = append(m.former, a)
+	default:
+		m.former[m.random.IntN(maxFormer)] = a
+	}
+}
--- a/core/state/member/member.go
+++ b/core/state/member/member.go
@@ -48,6 +48,7 @@
 	Address       netip.AddrPort // UDP and TCP address for other balancers
 	State         State
 	Refutation    uint32 // raised by the member itself to overrule a wrong opinion on it
+	StartedAt     int64  // start of the process, Unix time in ms; orders processes of the same ID and address
 }
 
 // CanOwn reports whether the member may own pool shards.
