Add the links between balancers

One UDP socket and one TCP listener carry forwarded datagrams, gossip, handovers, tables and member pages; a runner calls the membership machine in real time.

--- /dev/null
+++ b/io/transport/peer/datagram.go
@@ -0,0 +1,157 @@
+package peer
+
+import (
+	"net"
+	"net/netip"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"cornellb/core/coordination/membership"
+	"cornellb/core/state/packet"
+	"cornellb/io/protocol/wire"
+	peerwire "cornellb/io/protocol/wire/peer"
+)
+
+// Types of datagrams, the first byte.
+const (
+	typeForward = 1
+	typeGossip  = 2
+)
+
+const (
+	// maxDatagram is the largest datagram, in bytes. Forward adds addresses and counters to a caller packet.
+	maxDatagram = 1 + packet.MaxDatagramBytes + wire.MaxEnvelopeOverheadBytes
+	// readErrorPause keeps a socket that fails on each read from using a whole core.
+	readErrorPause = 10 * time.Millisecond
+)
+
+// sender holds what one send needs. The bound method is kept, since binding it anew would allocate.
+type sender struct {
+	buffer []byte
+	is4    bool
+	to4    syscall.SockaddrInet4
+	to6    syscall.SockaddrInet6
+	call   func(fd uintptr)
+	err    error
+}
+
+func newSender() *sender {
+	s := &sender{buffer: make([]byte, 0, maxDatagram)}
+	s.call = s.sendTo
+	return s
+}
+
+func (s *sender) setAddress(a netip.AddrPort) {
+	ip := a.Addr().Unmap()
+	if s.is4 = ip.Is4(); s.is4 {
+		s.to4.Port, s.to4.Addr = int(a.Port()), ip.As4()
+		return
+	}
+	s.to6.Port, s.to6.Addr = int(a.Port()), ip.As16()
+}
+
+// sendTo hands the datagram to the kernel or fails with EAGAIN.
+func (s *sender) sendTo(fd uintptr) {
+	for {
+		if s.is4 {
+			s.err = syscall.Sendto(int(fd), s.buffer, syscall.MSG_DONTWAIT, &s.to4)
+		} else {
+			s.err = syscall.Sendto(int(fd), s.buffer, syscall.MSG_DONTWAIT, &s.to6)
+		}
+		if s.err != syscall.EINTR {
+			return
+		}
+	}
+}
+
+// SendForward sends an encoded caller datagram to another balancer. It does not block and does not keep the payload. It
+// reports false if the datagram was dropped, which is counted.
+func (t *Transport) SendForward(to netip.AddrPort, payload []byte) bool {
+	s := t.senders.Get().(*sender)
+	defer t.senders.Put(s)
+	s.buffer = append(append(s.buffer[:0], typeForward), payload...)
+	return t.send(s, to, KindForward)
+}
+
+// SendGossip sends a gossip message. It does not block. It reports false if the datagram was dropped, which is counted.
+func (t *Transport) SendGossip(to netip.AddrPort, m *membership.Message) bool {
+	s := t.senders.Get().(*sender)
+	defer t.senders.Put(s)
+	b, err := peerwire.AppendGossip(append(s.buffer[:0], typeGossip), m)
+	if err != nil {
+		t.counters.sendErr.Add(1)
+		return false
+	}
+	s.buffer = b
+	return t.send(s, to, KindGossip)
+}
+
+func (t *Transport) send(s *sender, to netip.AddrPort, k Kind) bool {
+	if len(s.buffer) > maxDatagram || !to.IsValid() {
+		t.counters.sendErr.Add(1)
+		return false
+	}
+	s.setAddress(to)
+	err := t.raw.Control(s.call)
+	if err == nil {
+		err = s.err
+	}
+	switch {
+	case err == nil:
+		t.counters.sent[k].Add(uint64(len(s.buffer)))
+		return true
+	case errors.Is(err, syscall.EAGAIN), errors.Is(err, syscall.ENOBUFS):
+		t.counters.socketFull.Add(1)
+	default:
+		t.counters.sendErr.Add(1)
+	}
+	return false
+}
+
+func (t *Transport) receive() {
+	buffer := make([]byte, maxDatagram+1) // one more, so that a longer datagram is seen as too long
+	for {
+		n, from, err := t.conn.ReadFromUDPAddrPort(buffer)
+		switch {
+		case errors.Is(err, net.ErrClosed):
+			return
+		case err != nil:
+			t.counters.readErr.Add(1)
+			t.pause(readErrorPause)
+		default:
+			t.handle(netip.AddrPortFrom(from.Addr().Unmap(), from.Port()), buffer[:n])
+		}
+	}
+}
+
+// pause waits for a time or until Close.
+func (t *Transport) pause(d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-t.ctx.Done():
+	}
+}
+
+func (t *Transport) handle(from netip.AddrPort, b []byte) {
+	switch {
+	case len(b) == 0 || len(b) > maxDatagram:
+		t.counters.badType.Add(1)
+	case b[0] == typeForward:
+		t.counters.received[KindForward].Add(uint64(len(b)))
+		t.handlers.Forward.HandleForward(from, b[1:])
+	case b[0] == typeGossip:
+		t.counters.received[KindGossip].Add(uint64(len(b)))
+		m, err := peerwire.DecodeGossip(b[1:])
+		if err != nil {
+			t.counters.badGossip.Add(1)
+			return
+		}
+		t.handlers.Gossip.HandleGossip(from, m)
+	default:
+		t.counters.badType.Add(1)
+	}
+}
--- /dev/null
+++ b/io/transport/peer/peer_test.go
@@ -0,0 +1,255 @@
+package peer
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+	"go.uber.org/goleak"
+
+	"cornellb/core/coordination/membership"
+	"cornellb/core/state/flow"
+	"cornellb/core/state/member"
+	"cornellb/core/state/packet"
+	wire "cornellb/io/protocol/wire/peer"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+var loopback = netip.MustParseAddrPort("127.0.0.1:0")
+
+// process is one balancer's side of the links. It records what arrives.
+type process struct {
+	*Runner
+	transport *Transport
+	forwards  chan string
+	handovers chan *flow.Handover
+	offers    chan uint64
+	block     chan struct{} // Tables calls wait for it if it is set
+}
+
+func (p *process) HandleForward(_ netip.AddrPort, payload []byte) { p.forwards <- string(payload) }
+
+func (p *process) HandleHandover(_ context.Context, h *flow.Handover) (*flow.HandoverAck, error) {
+	p.handovers <- h
+	if len(h.Flows) == 0 {
+		return nil, errors.New("no flows")
+	}
+	return &flow.HandoverAck{By: h.To, Flows: []packet.FlowID{h.Flows[0].Ticket.Flow}}, nil
+}
+
+func (p *process) HandleTables(ctx context.Context, r *wire.TablesRequest) (*wire.TablesReply, error) {
+	if p.block != nil {
+		select {
+		case <-p.block:
+		case <-ctx.Done():
+		}
+	}
+	return &wire.TablesReply{Head: []byte("head"), Segments: map[string][]byte{r.Have[0]: []byte("segment")}}, nil
+}
+
+func (p *process) SetView(*member.View) {}
+
+func (p *process) OfferTables(_ member.Host, version uint64) {
+	select {
+	case p.offers <- version:
+	default:
+	}
+}
+
+type wallClock struct{}
+
+func (wallClock) Now() time.Time { return time.Now() }
+
+func start(t *testing.T, s Settings) *process {
+	t.Helper()
+	p := &process{
+		forwards: make(chan string, 16), handovers: make(chan *flow.Handover, 16), offers: make(chan uint64, 1),
+	}
+	p.Runner = NewRunner(wallClock{}, p)
+	s.Listen = loopback
+	tr, err := Listen(s, Handlers{Forward: p, Gossip: p.Runner, Handover: p, Tables: p, Members: p.Runner})
+	is.New(t).NoErr(err)
+	p.transport = tr
+	t.Cleanup(func() {
+		p.Runner.Close()
+		is.New(t).NoErr(tr.Close())
+	})
+	return p
+}
+
+func (p *process) join(id string, seeds ...netip.AddrPort) {
+	p.SetHints(seeds, nil)
+	p.Start(p.transport, membership.Config{
+		ID: id, FailureDomain: "domain", Address: p.transport.Address(), StartedAt: time.Now(),
+		Incarnation: member.Incarnation(rand.Uint64() | 1),
+	}, rand.New(rand.NewPCG(1, 2)))
+}
+
+// eventually waits for a condition that other goroutines bring about; a broken one runs into the test's own timeout.
+func eventually(isTrue func() bool) {
+	for !isTrue() {
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+func reachable(v *member.View) int {
+	n := 0
+	for _, h := range v.Hosts {
+		if h.IsReachable() {
+			n++
+		}
+	}
+	return n
+}
+
+// TestGroup guards against processes that do not find each other over real sockets, do not learn of tables and do not
+// see a departure.
+func TestGroup(t *testing.T) {
+	is := is.New(t)
+	a, b, c := start(t, Settings{}), start(t, Settings{}), start(t, Settings{})
+	a.join("a")
+	b.join("b", a.transport.Address())
+	c.join("c", a.transport.Address())
+	for _, p := range []*process{a, b, c} {
+		eventually(func() bool { return reachable(p.View()) == 3 })
+	}
+	a.SetTableVersion(7)
+	is.Equal(<-b.offers, uint64(7))
+	c.Leave()
+	inc := c.View().Self.Incarnation
+	eventually(func() bool { h, _ := a.View().Lookup(inc); return h.State == member.StateLeaving })
+	c.Depart()
+	eventually(func() bool { h, _ := a.View().Lookup(inc); return h.State == member.StateLeft })
+	k := a.transport.Counters()
+	is.True(k.SentBytes[KindGossip] > 0 && k.ReceivedBytes[KindGossip] > 0)
+	eventually(func() bool { return b.transport.Counters().ReceivedBytes[KindMembers] > 0 })
+}
+
+// TestForward guards against changed payloads, and against faulty datagrams that stop the reader or are not counted.
+func TestForward(t *testing.T) {
+	is := is.New(t)
+	a, b := start(t, Settings{}), start(t, Settings{Readers: 1})
+	conn, err := net.DialUDP("udp4", nil, net.UDPAddrFromAddrPort(b.transport.Address()))
+	is.NoErr(err)
+	defer func() { is.NoErr(conn.Close()) }()
+	for _, d := range [][]byte{{}, {9, 1}, make([]byte, maxDatagram+1), {typeGossip, 0xff}} {
+		_, err = conn.Write(d)
+		is.NoErr(err)
+	}
+	is.True(a.transport.SendForward(b.transport.Address(), []byte("payload")))
+	is.Equal(<-b.forwards, "payload")
+	is.True(!a.transport.SendForward(b.transport.Address(), make([]byte, maxDatagram)))
+	is.True(!a.transport.SendForward(netip.AddrPort{}, nil))
+	eventually(func() bool { k := b.transport.Counters(); return k.DroppedType == 3 && k.DroppedGossip == 1 })
+	is.Equal(a.transport.Counters().DroppedSendError, uint64(2))
+	is.Equal(a.transport.Counters().SentBytes[KindForward], uint64(8))
+}
+
+// TestCalls guards against calls that lose content or report a failure of the peer as something else.
+func TestCalls(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	a, b := start(t, Settings{}), start(t, Settings{})
+	to := b.transport.Address()
+	h := &flow.Handover{From: 1, To: 2, Shard: flow.ShardKey{Pool: "p", FailureDomain: "d"}, Flows: []flow.Snapshot{{
+		Ticket: flow.Ticket{Flow: packet.FlowID{5}, Service: "s", Shard: flow.ShardKey{Pool: "p", FailureDomain: "d"}},
+		Caller: netip.MustParseAddrPort("10.0.0.1:1"), Service: netip.MustParseAddrPort("10.0.0.2:2"),
+		Records: []flow.Record{{Request: 1, State: flow.StateAnswered, Answer: make([]byte, packet.MaxAnswerBytes)}},
+	}}}
+	ack, err := a.transport.SendHandover(ctx, to, h)
+	is.NoErr(err)
+	is.Equal(*ack, flow.HandoverAck{By: 2, Flows: []packet.FlowID{{5}}})
+	is.Equal(<-b.handovers, h)
+	tables, err := a.transport.FetchTables(ctx, to, &wire.TablesRequest{Have: []string{"digest"}})
+	is.NoErr(err)
+	is.Equal(string(tables.Segments["digest"]), "segment")
+	is.Equal(a.transport.Counters().SessionsDialled, uint64(1)) // both calls used one session
+
+	var remote *RemoteError
+	_, err = a.transport.SendHandover(ctx, to, &flow.Handover{From: 1, To: 2, Shard: h.Shard})
+	is.True(errors.As(err, &remote))
+	is.Equal(remote.Text, "no flows")
+	for range 4 {
+		h.Flows[0].Records = append(h.Flows[0].Records, h.Flows[0].Records[0])
+	}
+	var large *TooLargeError
+	_, err = a.transport.SendHandover(ctx, to, h)
+	is.True(errors.As(err, &large))
+	_, err = a.transport.FetchMembers(ctx, to, membership.MembersRequest{FailureDomain: "domain"})
+	is.True(errors.As(err, &remote)) // b has not started its membership
+	is.Equal(a.transport.Counters().CallsFailed, uint64(3))
+}
+
+// TestCallFailures guards against calls that wait for ever or hide at which stage they failed.
+func TestCallFailures(t *testing.T) {
+	is := is.New(t)
+	a, b := start(t, Settings{MaxSessions: 1}), start(t, Settings{})
+	b.block = make(chan struct{})
+	request := &wire.TablesRequest{Have: []string{"digest"}}
+	stage := func(err error) Stage {
+		var e *CallError
+		is.True(errors.As(err, &e))
+		return e.Stage
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	closed := netip.MustParseAddrPort(listener.Addr().String())
+	is.NoErr(listener.Close())
+	_, err = a.transport.FetchTables(context.Background(), closed, request)
+	is.Equal(stage(err), StageDial)
+
+	ctx, cancel := context.WithCancel(context.Background())
+	result := make(chan error)
+	go func() {
+		_, err := a.transport.FetchTables(ctx, b.transport.Address(), request)
+		result <- err
+	}()
+	eventually(func() bool { return len(b.transport.served) == 1 })
+	_, err = a.transport.FetchTables(context.Background(), closed, request)
+	is.Equal(stage(err), StageLimit) // the only session is in use
+	cancel()
+	is.Equal(stage(<-result), StageReply)
+	close(b.block)
+}
+
+// TestSessions guards against sessions that stay open without use, and against a peer that is not reached again after
+// its session broke.
+func TestSessions(t *testing.T) {
+	is := is.New(t)
+	a, b := start(t, Settings{SessionIdle: 40 * time.Millisecond}), start(t, Settings{})
+	request := &wire.TablesRequest{Have: []string{"digest"}}
+	sessions := func(t *Transport) int {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		return len(t.dialled) + len(t.accepted)
+	}
+	for range 2 {
+		_, err := a.transport.FetchTables(context.Background(), b.transport.Address(), request)
+		is.NoErr(err)
+		eventually(func() bool { return sessions(a.transport) == 0 && sessions(b.transport) == 0 })
+	}
+	is.Equal(a.transport.Counters().SessionsDialled, uint64(2))
+}
+
+// TestSendDoesNotBlock guards against a sender that waits for a socket without room.
+func TestSendDoesNotBlock(t *testing.T) {
+	is := is.New(t)
+	a := start(t, Settings{SocketBytes: 1})
+	sink, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(loopback))
+	is.NoErr(err)
+	defer func() { is.NoErr(sink.Close()) }()
+	is.NoErr(a.transport.conn.SetWriteDeadline(time.Unix(1, 0))) // a send that waits would fail with another error
+	to := sink.LocalAddr().(*net.UDPAddr).AddrPort()
+	for range 2000 {
+		a.transport.SendForward(to, make([]byte, 1200))
+	}
+	k := a.transport.Counters()
+	is.Equal(k.DroppedSendError, uint64(0))
+	is.Equal(k.SentBytes[KindForward]/1201+k.DroppedSocketFull, uint64(2000))
+}
--- /dev/null
+++ b/io/transport/peer/session.go
@@ -0,0 +1,249 @@
+package peer
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"github.com/pkg/errors"
+)
+
+// session is one yamux session. A dialled session is in Transport.dialled while its dial is under way as well.
+type session struct {
+	ready chan struct{} // closed when mux or err is set
+	mux   *yamux.Session
+	err   error
+
+	// Under Transport.mu.
+	users int
+	used  time.Time
+}
+
+func (t *Transport) muxConfig() *yamux.Config {
+	c := yamux.DefaultConfig()
+	c.AcceptBacklog = 2 * maxServed
+	c.KeepAliveInterval = t.settings.SessionIdle / 2
+	c.ConnectionWriteTimeout = t.settings.CallTimeout
+	c.StreamOpenTimeout = t.settings.CallTimeout
+	c.StreamCloseTimeout = t.settings.CallTimeout
+	c.LogOutput = io.Discard // failures reach the caller as errors
+	return c
+}
+
+// acquire returns the session to a peer, dialling it if there is none. The caller must release it.
+func (t *Transport) acquire(ctx context.Context, to netip.AddrPort) (*session, Stage, error) {
+	s, err := t.reserve(to)
+	if err != nil {
+		return nil, StageLimit, err
+	}
+	select {
+	case <-s.ready:
+	case <-ctx.Done():
+		t.release(s)
+		return nil, StageDial, ctx.Err()
+	}
+	if s.err != nil {
+		t.release(s)
+		return nil, StageDial, s.err
+	}
+	return s, "", nil
+}
+
+// reserve finds the session to a peer, or makes room for a new one and starts its dial.
+func (t *Transport) reserve(to netip.AddrPort) (*session, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.ctx.Err() != nil {
+		return nil, net.ErrClosed
+	}
+	if s := t.dialled[to]; s != nil && !s.isBroken() {
+		s.users++
+		return s, nil
+	}
+	delete(t.dialled, to)
+	if len(t.dialled) >= t.settings.MaxSessions && !t.evict() {
+		return nil, &LimitError{Sessions: t.settings.MaxSessions}
+	}
+	s := &session{ready: make(chan struct{}), users: 1, used: time.Now()}
+	t.dialled[to] = s
+	t.work.Go(func() { t.dial(to, s) })
+	return s, nil
+}
+
+// isBroken reports whether the session cannot carry new streams. It is false during the dial.
+func (s *session) isBroken() bool {
+	select {
+	case <-s.ready:
+		return s.err != nil || s.mux.IsClosed()
+	default:
+		return false
+	}
+}
+
+// evict closes the unused session that was used longest ago. The caller holds Transport.mu.
+func (t *Transport) evict() bool {
+	var oldest netip.AddrPort
+	for a, s := range t.dialled {
+		if s.users == 0 && (!oldest.IsValid() || s.used.Before(t.dialled[oldest].used)) {
+			oldest = a
+		}
+	}
+	if !oldest.IsValid() {
+		return false
+	}
+	t.shut(t.dialled[oldest])
+	delete(t.dialled, oldest)
+	return true
+}
+
+// dial connects the session on behalf of all calls that wait for it, so it does not end with the first of them.
+func (t *Transport) dial(to netip.AddrPort, s *session) {
+	defer close(s.ready)
+	dialer := net.Dialer{Timeout: t.settings.CallTimeout}
+	conn, err := dialer.DialContext(t.ctx, "tcp", to.String())
+	if err != nil {
+		s.err = err
+		return
+	}
+	s.mux, s.err = yamux.Client(conn, t.muxConfig())
+	if s.err != nil {
+		_ = conn.Close()
+		return
+	}
+	t.counters.dialled.Add(1)
+	if t.ctx.Err() != nil {
+		_ = s.mux.Close()
+	}
+}
+
+func (t *Transport) release(s *session) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s.users--
+	s.used = time.Now()
+}
+
+// shut closes a session without waiting.
+func (t *Transport) shut(s *session) {
+	select {
+	case <-s.ready:
+	default:
+		return // the dial is under way and ends with Transport.ctx
+	}
+	if s.mux != nil {
+		t.work.Go(func() { _ = s.mux.Close() })
+	}
+}
+
+// closeIdle closes unused sessions. A peer keeps an accepted session twice as long, since the dialling side closes it.
+func (t *Transport) closeIdle() {
+	ticker := time.NewTicker(t.settings.SessionIdle / 4)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-t.ctx.Done():
+			return
+		case now := <-ticker.C:
+			t.closeIdleAt(now)
+		}
+	}
+}
+
+func (t *Transport) closeIdleAt(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for a, s := range t.dialled {
+		if s.users == 0 && (s.isBroken() || now.Sub(s.used) >= t.settings.SessionIdle) {
+			t.shut(s)
+			delete(t.dialled, a)
+		}
+	}
+	for s := range t.accepted {
+		if s.users == 0 && now.Sub(s.used) >= 2*t.settings.SessionIdle {
+			t.shut(s) // its goroutine removes it
+		}
+	}
+}
+
+func (t *Transport) closeSessions() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, s := range t.dialled {
+		t.shut(s)
+	}
+	for s := range t.accepted {
+		t.shut(s)
+	}
+}
+
+// accept takes connections of peers.
+func (t *Transport) accept() {
+	for {
+		conn, err := t.listener.AcceptTCP()
+		switch {
+		case errors.Is(err, net.ErrClosed):
+			return
+		case err != nil:
+			t.counters.readErr.Add(1)
+			t.pause(readErrorPause)
+		default:
+			t.admit(conn)
+		}
+	}
+}
+
+func (t *Transport) admit(conn net.Conn) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.ctx.Err() != nil || len(t.accepted) >= t.settings.MaxSessions {
+		t.counters.refused.Add(1)
+		_ = conn.Close()
+		return
+	}
+	mux, err := yamux.Server(conn, t.muxConfig())
+	if err != nil {
+		_ = conn.Close()
+		return
+	}
+	s := &session{ready: make(chan struct{}), mux: mux, used: time.Now()}
+	close(s.ready)
+	t.accepted[s] = struct{}{}
+	t.counters.accepted.Add(1)
+	t.work.Go(func() { t.serve(s) })
+}
+
+// serve handles the streams of one accepted session. A stream is accepted when there is room to serve it, so that
+// yamux refuses what a peer opens beyond the backlog.
+func (t *Transport) serve(s *session) {
+	var streams sync.WaitGroup
+	defer func() {
+		_ = s.mux.Close()
+		streams.Wait()
+		t.mu.Lock()
+		delete(t.accepted, s)
+		t.mu.Unlock()
+	}()
+	for {
+		stream, err := s.mux.AcceptStream()
+		if err != nil {
+			return
+		}
+		select {
+		case t.served <- struct{}{}:
+		case <-t.ctx.Done():
+			return
+		}
+		t.mu.Lock()
+		s.users++
+		t.mu.Unlock()
+		streams.Go(func() {
+			defer func() { <-t.served }()
+			defer t.release(s)
+			t.serveStream(stream)
+		})
+	}
+}
--- /dev/null
+++ b/io/transport/peer/transport.go
@@ -0,0 +1,208 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"runtime"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"cornellb/core/coordination/membership"
+	"cornellb/core/state/flow"
+	wire "cornellb/io/protocol/wire/peer"
+)
+
+// ForwardHandler takes forwarded caller datagrams. It is called by several goroutines at once. The payload is valid
+// until it returns.
+type ForwardHandler interface {
+	HandleForward(from netip.AddrPort, payload []byte)
+}
+
+// GossipHandler takes gossip messages, which it may keep. It is called by several goroutines at once and must not
+// block.
+type GossipHandler interface {
+	HandleGossip(from netip.AddrPort, m *membership.Message)
+}
+
+// HandoverHandler takes flows from another owner. It is called by several goroutines at once. The text of its error is
+// sent to the peer.
+type HandoverHandler interface {
+	HandleHandover(ctx context.Context, h *flow.Handover) (*flow.HandoverAck, error)
+}
+
+// TablesHandler serves tables to peers that have older ones. It is called by several goroutines at once. The text of
+// its error is sent to the peer.
+type TablesHandler interface {
+	HandleTables(ctx context.Context, r *wire.TablesRequest) (*wire.TablesReply, error)
+}
+
+// MembersHandler serves member pages. It is called by several goroutines at once. The text of its error is sent to the
+// peer.
+type MembersHandler interface {
+	HandleMembers(ctx context.Context, r membership.MembersRequest) (membership.MembersReply, error)
+}
+
+// Handlers take what arrives. All are required.
+type Handlers struct {
+	Forward  ForwardHandler
+	Gossip   GossipHandler
+	Handover HandoverHandler
+	Tables   TablesHandler
+	Members  MembersHandler
+}
+
+// Settings configure the links. Zero values select defaults.
+type Settings struct {
+	Listen      netip.AddrPort // UDP and TCP
+	Readers     int            // number of goroutines that read datagrams
+	SocketBytes int            // size of the kernel's UDP receive and send buffers, in bytes
+	MaxSessions int            // of each direction
+	SessionIdle time.Duration  // a session without a stream for this time is closed
+	CallTimeout time.Duration  // bound of dialling, request and reply together, and of serving one stream
+}
+
+const (
+	defaultReaders     = 4
+	defaultSocketBytes = 2 << 20
+	defaultMaxSessions = 64
+	defaultSessionIdle = 30 * time.Second
+	defaultCallTimeout = 10 * time.Second
+	// maxServed bounds the streams served at a time, and thereby the memory of requests, to 8 x MaxRequestBytes.
+	maxServed = 8
+	// listenTries bounds the search for a port that is free for UDP and TCP when the port is left to the system.
+	listenTries = 16
+)
+
+// Transport is the open socket and listener. It is safe for concurrent use.
+type Transport struct {
+	settings Settings
+	handlers Handlers
+	conn     *net.UDPConn
+	raw      syscall.RawConn
+	listener *net.TCPListener
+	senders  sync.Pool // of *sender
+	served   chan struct{}
+	counters counters
+
+	ctx     context.Context
+	cancel  context.CancelFunc
+	closing sync.Once
+	work    sync.WaitGroup
+
+	mu       sync.Mutex
+	dialled  map[netip.AddrPort]*session
+	accepted map[*session]struct{}
+}
+
+// Listen opens the socket and the listener and starts to serve. The error is a *SettingsError or that of the socket.
+func Listen(s Settings, h Handlers) (*Transport, error) {
+	s, err := s.withDefaults()
+	if err != nil {
+		return nil, err
+	}
+	if h.Forward == nil || h.Gossip == nil || h.Handover == nil || h.Tables == nil || h.Members == nil {
+		return nil, &SettingsError{Setting: "handlers", Reason: "are not complete"}
+	}
+	conn, listener, err := open(s.Listen)
+	if err != nil {
+		return nil, errors.Wrap(err, "peer: listen")
+	}
+	t := &Transport{
+		settings: s, handlers: h, conn: conn, listener: listener, served: make(chan struct{}, maxServed),
+		dialled: map[netip.AddrPort]*session{}, accepted: map[*session]struct{}{},
+	}
+	t.senders.New = func() any { return newSender() }
+	t.ctx, t.cancel = context.WithCancel(context.Background())
+	if err := t.setUp(); err != nil {
+		_ = t.Close()
+		return nil, errors.Wrap(err, "peer: set up socket")
+	}
+	for range s.Readers {
+		t.work.Go(t.receive)
+	}
+	t.work.Go(t.accept)
+	t.work.Go(t.closeIdle)
+	return t, nil
+}
+
+func (s Settings) withDefaults() (Settings, error) {
+	if !s.Listen.IsValid() {
+		return s, &SettingsError{Setting: "listen", Reason: "is not an address"}
+	}
+	s.Listen = netip.AddrPortFrom(s.Listen.Addr().Unmap(), s.Listen.Port())
+	if s.Readers <= 0 {
+		s.Readers = min(defaultReaders, runtime.GOMAXPROCS(0))
+	}
+	if s.SocketBytes <= 0 {
+		s.SocketBytes = defaultSocketBytes
+	}
+	if s.MaxSessions <= 0 {
+		s.MaxSessions = defaultMaxSessions
+	}
+	if s.SessionIdle <= 0 {
+		s.SessionIdle = defaultSessionIdle
+	}
+	if s.CallTimeout <= 0 {
+		s.CallTimeout = defaultCallTimeout
+	}
+	return s, nil
+}
+
+// open binds both protocols to one port. A port that the system chose for TCP may be in use for UDP.
+func open(a netip.AddrPort) (*net.UDPConn, *net.TCPListener, error) {
+	suffix := "6"
+	if a.Addr().Is4() {
+		suffix = "4"
+	}
+	for try := 1; ; try++ {
+		listener, err := net.ListenTCP("tcp"+suffix, net.TCPAddrFromAddrPort(a))
+		if err != nil {
+			return nil, nil, err
+		}
+		bound := listener.Addr().(*net.TCPAddr).AddrPort()
+		conn, err := net.ListenUDP("udp"+suffix, net.UDPAddrFromAddrPort(bound))
+		if err == nil {
+			return conn, listener, nil
+		}
+		_ = listener.Close()
+		if a.Port() != 0 || try == listenTries {
+			return nil, nil, err
+		}
+	}
+}
+
+func (t *Transport) setUp() error {
+	err := t.conn.SetReadBuffer(t.settings.SocketBytes)
+	if err == nil {
+		err = t.conn.SetWriteBuffer(t.settings.SocketBytes)
+	}
+	if err == nil {
+		t.raw, err = t.conn.SyscallConn()
+	}
+	return err
+}
+
+// Address returns the address of the socket and the listener.
+func (t *Transport) Address() netip.AddrPort {
+	a := t.conn.LocalAddr().(*net.UDPAddr).AddrPort()
+	return netip.AddrPortFrom(a.Addr().Unmap(), a.Port())
+}
+
+// Close closes everything and waits until no handler call is running. It must not be called by a handler.
+func (t *Transport) Close() error {
+	var err error
+	t.closing.Do(func() {
+		t.cancel()
+		err = t.conn.Close()
+		if e := t.listener.Close(); err == nil {
+			err = e
+		}
+		t.closeSessions()
+	})
+	t.work.Wait()
+	return errors.Wrap(err, "peer: close")
+}
