Read the full member list again when most senders hold another set

300 members that started at once took 259 s of simulated time to agree, because the byte budgets of the seeds were used up by pings. Members that are gone are remembered beyond the view, since a process after a pause of almost DeadMemory brought one back through a list.

--- a/core/coordination/membership/fetch.go
+++ b/core/coordination/membership/fetch.go
@@ -13,6 +13,10 @@
 
 const (
 	fetchTimeout  = 5 * time.Second
+	fetchRetry    = 500 * time.Millisecond // after a peer that could not be asked
+	refetchMin    = 5 * time.Second
+	refetchMax    = 80 * time.Second
+	refetchAll    = 4 * PageHosts    // in a larger group only the own failure domain is read again
 	fetchInterval = 30 * time.Second // between full lists that are fetched after a partition
 )
 
@@ -42,9 +46,11 @@
 type fetch struct {
 	wanted  bool
 	done    bool           // the first full list is complete
-	peer    netip.AddrPort // the only peer to ask, not valid for any
+	peer    netip.AddrPort // the only peer to ask, which is on the other side of a healed partition; not valid for any
 	waiting netip.AddrPort // the peer that was asked, not valid for none
 	after   Cursor
+	news    int // members that this list brought
+	started time.Time
 	next    time.Time // not before this time
 	ended   time.Time
 }
@@ -79,20 +85,14 @@
 	return reply
 }
 
-// startFetch decides whether a message is a reason to read the full list: the first contact of a process, or an ack
-// from a member that was not reachable, which means that a partition healed.
-func (m *Machine) startFetch(sender *record, wasReachable bool, k Kind) {
+// healFetch decides whether a message is a reason to read the full list of its sender: an ack of a member that was not
+// reachable means that a partition healed.
+func (m *Machine) healFetch(sender *record, wasReachable bool, k Kind) {
 	f := &m.fetch
-	if sender == nil || sender.index < 0 || f.wanted {
+	if sender == nil || sender.index < 0 || wasReachable || k != KindAck || f.wanted || m.now.Sub(f.ended) < fetchInterval {
 		return
 	}
-	if !f.done {
-		f.wanted = true
-		return
-	}
-	if !wasReachable && k == KindAck && m.now.Sub(f.ended) >= fetchInterval {
-		m.fetch = fetch{wanted: true, done: true, peer: sender.host.Address}
-	}
+	m.fetch = fetch{wanted: true, done: true, peer: sender.host.Address, started: m.now}
 }
 
 func (m *Machine) tickFetch() {
@@ -101,41 +101,72 @@
 		return
 	}
 	if f.waiting.IsValid() && f.peer.IsValid() {
-		m.endFetch() // the peer of a healed partition did not answer; the next contact starts again
+		m.fetch = fetch{done: true, ended: m.now} // no answer; the next contact starts again
 		return
 	}
-	f.waiting = f.peer
-	if !f.peer.IsValid() {
-		r := m.randomMember()
-		if len(m.near) > 0 {
-			r = m.near[m.random.IntN(len(m.near))]
-		}
-		if r == nil {
-			return
-		}
-		f.waiting = r.host.Address
+	if f.waiting = f.peer; !f.peer.IsValid() {
+		f.waiting = m.fetchPeer()
+	}
+	if f.waiting.IsValid() {
+		f.next = m.now.Add(fetchTimeout)
+		m.out.FetchMembers(f.waiting, MembersRequest{FailureDomain: m.self.FailureDomain, After: f.after})
 	}
-	f.next = m.now.Add(fetchTimeout)
-	m.out.FetchMembers(f.waiting, MembersRequest{FailureDomain: m.self.FailureDomain, After: f.after})
 }
 
-func (m *Machine) endFetch() { m.fetch = fetch{done: true, ended: m.now} }
+// fetchPeer picks a member, if possible of the own failure domain, or a hint.
+func (m *Machine) fetchPeer() netip.AddrPort {
+	switch {
+	case len(m.near) > 0:
+		return m.near[m.random.IntN(len(m.near))].host.Address
+	case len(m.far) > 0:
+		return m.far[m.random.IntN(len(m.far))].host.Address
+	case len(m.hints) > 0:
+		return m.hints[m.random.IntN(len(m.hints))]
+	}
+	return netip.AddrPort{}
+}
 
-// ReceiveMembers takes a page that came from the peer that was asked last; other pages are ignored.
+// endFetch finishes a list. Reachable members that were not in it are probed next, since the peers may have forgotten
+// them as dead.
+func (m *Machine) endFetch() {
+	f := m.fetch
+	m.fetch = fetch{done: true, ended: m.now}
+	m.agreement.listed(f.news > 0)
+	for _, list := range [][]*record{m.near, m.far} {
+		for _, r := range list {
+			if r.listedAt.Before(f.started) && len(m.probeList) <= 2*len(m.sorted) {
+				m.probeList = append(m.probeList, r)
+			}
+		}
+	}
+}
+
+// ReceiveMembers takes a page that came from the peer that was asked last, or nil if that peer could not be asked;
+// other pages are ignored.
 func (m *Machine) ReceiveMembers(from netip.AddrPort, r *MembersReply) {
 	f := &m.fetch
 	if !f.wanted || !f.waiting.IsValid() || f.waiting != from || m.departed {
 		return
 	}
-	how := sourceGossip
-	if !f.done {
-		how = sourceJoin
+	if r == nil {
+		f.next = m.now.Add(fetchRetry)
+		return
+	}
+	how := sourceJoin
+	if f.peer.IsValid() {
+		how = sourceGossip
 	}
 	bytes, isNear := 0, true
 	for _, h := range r.Hosts {
 		bytes += HostSize(h)
 		isNear = isNear && h.FailureDomain == m.self.FailureDomain
+		if m.records[h.Incarnation] == nil && !isGone(h.State) && h.Incarnation != m.self.Incarnation {
+			f.news++
+		}
 		m.merge(h, how)
+		if k := m.records[h.Incarnation]; k != nil {
+			k.listedAt = m.now
+		}
 	}
 	if r.Last || r.Next == f.after {
 		m.endFetch()
--- a/core/coordination/membership/gossip.go
+++ b/core/coordination/membership/gossip.go
@@ -14,12 +14,12 @@
 
 const (
 	priorityProbe  priority = iota // pings and acks, all tokens
-	priorityChange                 // membership changes, above a quarter of the bucket
+	priorityChange                 // membership changes, above a third of the bucket
 	priorityTable                  // table versions outside of other messages, above half of the bucket
 )
 
 // floorDivisors hold the share of the bucket that each priority leaves to those before it; 0 stands for no share.
-var floorDivisors = [...]float64{priorityProbe: math.Inf(1), priorityChange: 4, priorityTable: 2}
+var floorDivisors = [...]float64{priorityProbe: math.Inf(1), priorityChange: 3, priorityTable: 2}
 
 // change is a pending piece of news on a member.
 type change struct {
@@ -70,6 +70,7 @@
 func (m *Machine) send(to netip.AddrPort, message *Message, receiver *record, p priority) bool {
 	message.Sender = m.self
 	message.TableVersion = m.tableVersion
+	message.Digest = m.digest()
 	size := message.Size() + datagramOverhead
 	if receiver != nil && receiver.host.State != member.StateAlive && receiver.host.State != member.StateLeaving {
 		message.Changes = append(message.Changes, receiver.host)
@@ -144,18 +145,19 @@
 	return size
 }
 
-// tickGossip spreads news faster than pings alone would.
+// tickGossip spreads news faster than pings alone would. News of the process itself and new tables go out at once.
 func (m *Machine) tickGossip() {
+	if m.announceSelf {
+		m.announceSelf = m.spread(versionFanout, priorityChange) == 0
+	}
+	if m.announceTable {
+		m.announceTable = m.spread(versionFanout, priorityTable) == 0
+	}
 	if m.now.Before(m.nextGossip) {
 		return
 	}
 	m.nextGossip = m.now.Add(GossipInterval)
-	switch {
-	case m.announceSelf:
-		m.announceSelf = m.spread(versionFanout, priorityChange) == 0
-	case m.announceTable:
-		m.announceTable = m.spread(versionFanout, priorityTable) == 0
-	case len(m.queue) > 0:
+	if len(m.queue) > 0 {
 		m.spread(gossipFanout, priorityChange)
 	}
 }
--- a/core/coordination/membership/heal.go
+++ b/core/coordination/membership/heal.go
@@ -3,6 +3,8 @@
 import (
 	"net/netip"
 	"slices"
+
+	"cornellb/core/state/member"
 )
 
 // hintTries is the number of hint addresses that a process without any reachable member pings in each period.
@@ -37,8 +39,10 @@
 		switch k := m.random.IntN(3); {
 		case k == 0 && len(m.dead) > 0:
 			a = m.dead[m.random.IntN(len(m.dead))].host.Address
-		case k == 1 && len(m.former) > 0:
-			a = m.former[m.random.IntN(len(m.former))]
+		case k == 1 && len(m.former.order) > 0:
+			if h := m.former.hosts[m.former.order[m.random.IntN(len(m.former.order))]]; h.State == member.StateDead {
+				a = h.Address
+			}
 		case len(m.hints) > 0:
 			a = m.hints[m.random.IntN(len(m.hints))]
 		}
@@ -54,13 +58,18 @@
 	return m.send(a, &Message{Kind: KindPing, Sequence: m.sequence}, m.deadAt(a), priorityChange)
 }
 
-// deadAt returns the newest record of a dead member at an address, or nil.
+// deadAt returns the newest record of a member at an address that is gone, or nil.
 func (m *Machine) deadAt(a netip.AddrPort) *record {
 	for _, r := range slices.Backward(m.dead) {
 		if r.host.Address == a {
 			return r
 		}
 	}
+	for _, i := range slices.Backward(m.former.order) {
+		if h := m.former.hosts[i]; h.Address == a {
+			return &record{host: h, index: -1}
+		}
+	}
 	return nil
 }
 
@@ -75,13 +84,28 @@
 	}
 }
 
-// rememberAddress keeps the address of a forgotten member. Beyond maxFormer a random one is replaced.
-func (m *Machine) rememberAddress(a netip.AddrPort) {
-	switch {
-	case slices.Contains(m.former, a):
-	case len(m.former) < maxFormer:
-		m.former = append(m.former, a)
-	default:
-		m.former[m.random.IntN(maxFormer)] = a
+// former remembers members that are gone and no longer in the view.
+type former struct {
+	hosts map[member.Incarnation]member.Host
+	order []member.Incarnation // oldest first; may name a member that came back
+}
+
+func (f *former) add(h member.Host) {
+	f.hosts[h.Incarnation] = h
+	f.order = append(f.order, h.Incarnation)
+	if len(f.order) > maxFormer {
+		delete(f.hosts, f.order[0])
+		f.order = f.order[1:]
+	}
+}
+
+// opinionOn returns what is known of an incarnation, or nil.
+func (m *Machine) opinionOn(i member.Incarnation) *record {
+	if r := m.records[i]; r != nil {
+		return r
 	}
+	if h, ok := m.former.hosts[i]; ok {
+		return &record{host: h, index: -1}
+	}
+	return nil
 }
--- a/core/coordination/membership/membership.go
+++ b/core/coordination/membership/membership.go
@@ -8,8 +8,10 @@
 // messages to send, a new immutable member.View after a change, member pages to fetch, and peers that have newer
 // tables. PageOf serves the member pages that other processes fetch; it reads a View and may run on any goroutine.
 //
-// A View contains members that are dead or left for as long as they are remembered (DeadMemory), so that readers can
-// tell a member that is gone from one that was never heard of. Readers use Host.CanOwn and Host.IsReachable.
+// A View contains members that are dead or left for DeadMemory, so that readers can tell a member that is gone from one
+// that was never heard of. Readers use Host.CanOwn and Host.IsReachable. After that time the machine remembers the last
+// maxFormer of them, because a process that was paused for longer may still hold them alive, and because a partition
+// may last for an hour.
 //
 // # Rules
 //
@@ -37,11 +39,12 @@
 	ProbePeriod    = time.Second
 	AckTimeout     = 300 * time.Millisecond
 	SuspectTimeout = 3 * time.Second
-	DeadMemory     = 60 * time.Second // dead and left members are remembered for this time
+	DeadMemory     = 60 * time.Second // dead and left members stay in the view for this time
 	GossipInterval = 200 * time.Millisecond
 	healInterval   = 5 * time.Second // between pings to addresses that are not in the list of reachable members
 	maxStep        = 250 * time.Millisecond
 	pauseLimit     = 2 * time.Second // a longer time between two ticks is a pause of this process
+	settleTime     = time.Second     // after a pause, for messages that waited in buffers
 )
 
 // Bounds of the state, and fan-outs.
@@ -50,7 +53,7 @@
 	MinBytesPerSecond     = 1024 // below this figure pings and acks of a member do not fit
 	MaxMembers            = 32768
 	maxDead               = 4096
-	maxFormer             = 128 // addresses of forgotten members that are still tried, for partitions of an hour
+	maxFormer             = 4096 // members that are remembered after they left the view; about 1 MB
 	maxRelays             = 256
 	maxHeal               = 64
 	maxHeard              = 64
@@ -65,7 +68,7 @@
 	// SendGossip sends a message, which the machine does not use afterwards.
 	SendGossip(to netip.AddrPort, m *Message)
 	// FetchMembers asks a peer for a page of its members. The answer comes back through ReceiveMembers; without an
-	// answer the machine asks again.
+	// answer, or after a nil answer, the machine asks again.
 	FetchMembers(from netip.AddrPort, r MembersRequest)
 	// SetView publishes the new view.
 	SetView(v *member.View)
@@ -102,15 +105,16 @@
 	now    time.Time // machine time, see maxStep
 	ticked time.Time // real time of the last Tick
 
-	records  map[member.Incarnation]*record
-	places   map[place]*record // newest incarnation of each ID and address
-	sorted   []*record         // by ID and incarnation
-	near     []*record         // reachable, own failure domain
-	far      []*record         // reachable, other failure domains
-	suspects []*record
-	dead     []*record // dead and left, in order of the time
-	former   []netip.AddrPort
-	hints    []netip.AddrPort
+	records      map[member.Incarnation]*record
+	places       map[place]*record // newest incarnation of each ID and address
+	sorted       []*record         // by ID and incarnation
+	near         []*record         // reachable, own failure domain
+	far          []*record         // reachable, other failure domains
+	othersDigest uint64            // of the reachable members in near and far
+	suspects     []*record
+	dead         []*record // dead and left, in order of the time
+	former       former
+	hints        []netip.AddrPort
 
 	queue     []*change
 	order     uint64    // of the newest change
@@ -124,8 +128,9 @@
 	relays    []relay
 	heal      []netip.AddrPort
 	fetch     fetch
+	agreement agreement
 
-	nextProbe, nextGossip, nextHeal, nextSuggested, nextView time.Time
+	nextProbe, nextGossip, nextHeal, nextSuggested, nextView, settled, youngUntil time.Time
 
 	tableVersion  uint64
 	announceTable bool
@@ -156,11 +161,14 @@
 		ticked:  now,
 		records: make(map[member.Incarnation]*record),
 		places:  make(map[place]*record),
+		former:  former{hosts: make(map[member.Incarnation]member.Host)},
 		limiter: rate.NewLimiter(rate.Limit(bytes), bytes-int(maxStep*time.Duration(bytes)/time.Second)),
 	}
 	m.nextProbe = now.Add(time.Duration(random.Int64N(int64(ProbePeriod))))
 	m.nextGossip, m.nextHeal = now, now
 	m.announceSelf = true
+	m.fetch = fetch{wanted: true, started: now}
+	m.agreement.ends, m.youngUntil = now.Add(youngWindow), now.Add(youngTime)
 	m.publish()
 	return m
 }
@@ -234,6 +242,7 @@
 	m.tickProbe()
 	m.tickHeal()
 	m.tickGossip()
+	m.tickAgreement()
 	m.tickFetch()
 	if m.dirty && !m.now.Before(m.nextView) {
 		m.publish()
@@ -250,8 +259,10 @@
 	if gap < pauseLimit {
 		return
 	}
-	// The opinions in the queue may be older than the memory of the others for dead members, so they are not sent.
+	// Opinions in the queue, and in messages that waited for this process, may be older than the memory of the others
+	// for dead members. They are not passed on, because the others would take them for news.
 	m.stats.Pauses++
+	m.settled = m.now.Add(settleTime)
 	m.queue = m.queue[:0]
 	for _, r := range m.records {
 		r.queued, r.isHeard = nil, false
@@ -260,7 +271,7 @@
 	m.probe.active = false
 	m.announceSelf = true
 	if gap > DeadMemory {
-		m.fetch = fetch{wanted: true}
+		m.fetch = fetch{wanted: true, done: true, started: m.now}
 	}
 }
 
--- a/core/coordination/membership/merge.go
+++ b/core/coordination/membership/merge.go
@@ -29,6 +29,7 @@
 	queued    *change   // pending change, or nil
 	heardAt   time.Time // time of the last message from the member itself
 	isHeard   bool      // is in Machine.heard
+	listedAt  time.Time // last time in a page of a full list
 	isOwn     bool      // this process itself found the member suspect
 	pingedAt  time.Time // last ping to a member that this process itself found suspect
 }
@@ -82,6 +83,12 @@
 	}
 	r := m.records[h.Incarnation]
 	if r == nil {
+		if f, ok := m.former.hosts[h.Incarnation]; ok && !overrules(h, f) {
+			if f.State == member.StateDead && !isGone(h.State) {
+				m.suggestHeal(f.Address)
+			}
+			return
+		}
 		m.add(h, from)
 		return
 	}
@@ -135,6 +142,7 @@
 	if current != nil && !startedLater(h, current.host) {
 		return // an earlier process of the same place
 	}
+	delete(m.former.hosts, h.Incarnation)
 	r := &record{host: h, index: -1, since: m.now}
 	m.records[h.Incarnation] = r
 	m.places[placeOf(h)] = r
@@ -204,6 +212,7 @@
 		m.addSuspect(r)
 	}
 	list := m.listOf(r)
+	m.othersDigest ^= digestOf(r.host)
 	r.index = len(*list)
 	*list = append(*list, r)
 }
@@ -224,6 +233,7 @@
 	(*list)[r.index].index = r.index
 	*list = (*list)[:last]
 	r.index = -1
+	m.othersDigest ^= digestOf(r.host)
 }
 
 func (m *Machine) listOf(r *record) *[]*record {
@@ -286,7 +296,5 @@
 	}
 	m.dequeue(r)
 	m.dirty = true
-	if r.host.State == member.StateDead {
-		m.rememberAddress(r.host.Address)
-	}
+	m.former.add(r.host)
 }
--- a/core/coordination/membership/message.go
+++ b/core/coordination/membership/message.go
@@ -34,12 +34,13 @@
 	Target        member.Incarnation // Ping: expected receiver, 0 for any; PingRequest, Ack: the member in question
 	TargetAddress netip.AddrPort     // PingRequest
 	TableVersion  uint64             // version of the tables in force at the sender
+	Digest        uint64             // of the members that are reachable in the view of the sender
 	Changes       []member.Host
 }
 
 // Size returns an upper bound of the encoded size of the message in bytes.
 func (m *Message) Size() int {
-	n := 2 + 1 + varintSize(m.Sequence) + HostSize(m.Sender) + 9 + 1 + varintSize(m.TableVersion)
+	n := 2 + 1 + varintSize(m.Sequence) + HostSize(m.Sender) + 9 + 9 + 1 + varintSize(m.TableVersion)
 	if m.TargetAddress.IsValid() {
 		n += addressSize(m.TargetAddress)
 	}
--- a/core/coordination/membership/probe.go
+++ b/core/coordination/membership/probe.go
@@ -129,7 +129,7 @@
 		return
 	}
 	m.sequence++
-	if m.send(r.host.Address, &Message{Kind: KindPing, Sequence: m.sequence}, r, priorityProbe) {
+	if m.send(r.host.Address, &Message{Kind: KindPing, Sequence: m.sequence, Target: r.host.Incarnation}, r, priorityProbe) {
 		r.pingedAt = m.now
 	}
 }
@@ -144,16 +144,24 @@
 	wasReachable := before != nil && before.index >= 0
 	m.merge(sender, sourceGossip)
 	for _, h := range message.Changes {
-		m.merge(h, sourceGossip)
+		if !m.now.Before(m.settled) || h.Incarnation == m.self.Incarnation {
+			m.merge(h, sourceGossip)
+		}
 	}
 	r := m.records[sender.Incarnation]
 	if r != nil {
 		m.hear(r, sender)
 	}
-	m.startFetch(r, wasReachable, message.Kind)
+	m.healFetch(r, wasReachable, message.Kind)
 	if message.TableVersion > m.tableVersion {
 		m.out.OfferTables(sender, message.TableVersion)
 	}
+	if r != nil && r.index >= 0 {
+		m.agreement.count(message.Digest == m.digest())
+	}
+	if r == nil {
+		r = m.opinionOn(sender.Incarnation)
+	}
 	m.answer(from, message, r)
 }
 
@@ -180,7 +188,11 @@
 func (m *Machine) answer(from netip.AddrPort, message *Message, sender *record) {
 	switch message.Kind {
 	case KindPing:
-		m.send(from, &Message{Kind: KindAck, Sequence: message.Sequence, Target: m.self.Incarnation}, sender, priorityProbe)
+		p := priorityProbe
+		if message.Target == 0 {
+			p = priorityChange // a search for members, which must not use up the bytes for acks to members
+		}
+		m.send(from, &Message{Kind: KindAck, Sequence: message.Sequence, Target: m.self.Incarnation}, sender, p)
 	case KindPingRequest:
 		m.relayPing(from, message)
 	case KindAck:
--- a/core/coordination/membership/sim_test.go
+++ b/core/coordination/membership/sim_test.go
@@ -44,8 +44,8 @@
 	level       float64         // of the byte budget
 	sentAt      time.Time
 	sentBytes   int
-	known       map[member.Incarnation]member.Host // last opinion in a view
-	gone        map[member.Incarnation]bool        // was dead, left or forgotten
+	known       map[member.Incarnation]member.Host // last opinion in a view, kept after the member is forgotten
+	gone        map[member.Incarnation]bool        // was dead or left
 }
 
 func newSim(seed uint64, fail func(format string, args ...any)) *sim {
@@ -90,6 +90,13 @@
 	return int(b[2])*250 + int(b[3]) - 1
 }
 
+func (s *sim) nodeAt(slot int) *node {
+	if slot >= len(s.nodes) {
+		return nil
+	}
+	return s.nodes[slot]
+}
+
 func (s *sim) post(from int, to netip.AddrPort, deliver func(n *node)) {
 	slot := s.slotOf(to)
 	if s.side[from] != s.side[slot] || s.random.Float64() < s.loss {
@@ -135,7 +142,7 @@
 		s.mail = later
 		slices.SortStableFunc(due, func(a, b mail) int { return cmp.Compare(a.at.UnixNano(), b.at.UnixNano()) })
 		for _, l := range due {
-			n := s.nodes[l.to]
+			n := s.nodeAt(l.to)
 			switch {
 			case n == nil || s.side[l.from] != s.side[l.to]:
 			case s.now.Before(n.pausedUntil):
@@ -173,6 +180,9 @@
 		reply := PageOf(p.view, r)
 		p.s.post(p.slot, back, func(n *node) { n.machine.ReceiveMembers(from, &reply) })
 	})
+	if n.s.nodeAt(n.s.slotOf(from)) == nil {
+		n.machine.ReceiveMembers(from, nil)
+	}
 }
 
 // OfferTables implements Output; the process takes the version at once.
@@ -199,12 +209,6 @@
 		}
 		n.checkStopped(h)
 	}
-	for inc := range n.known {
-		if _, ok := v.Lookup(inc); !ok {
-			n.gone[inc] = true
-		}
-	}
-	clear(n.known)
 	for _, h := range v.Hosts {
 		n.known[h.Incarnation] = h
 	}
@@ -224,13 +228,16 @@
 }
 
 // checkStopped guards against processes that ended and come back, also after they were forgotten. News of a refutation
-// before the end may be under way for some seconds.
+// before the end may be under way for some seconds, or wait for a process that is paused.
 func (n *node) checkStopped(h member.Host) {
 	if isGone(h.State) {
 		n.gone[h.Incarnation] = true
 		return
 	}
 	at, ok := n.s.stopped[h.Incarnation]
+	if n.pausedUntil.After(at) {
+		at = n.pausedUntil
+	}
 	if ok && n.gone[h.Incarnation] && n.s.now.Sub(at) > DeadMemory/2 {
 		n.s.fail("%s: stopped %s is back after %v", n.view.Self.ID, h.ID, n.s.now.Sub(at))
 	}
--- a/io/protocol/wire/peer/gossip.go
+++ b/io/protocol/wire/peer/gossip.go
@@ -22,6 +22,7 @@
 	x := &Gossip{
 		Kind: GossipKind(m.Kind), Sequence: m.Sequence, Sender: NewHost(m.Sender), Target: uint64(m.Target),
 		TargetAddress: encodeAddress(m.TargetAddress), TableVersion: m.TableVersion, Changes: NewHosts(m.Changes),
+		Digest: m.Digest,
 	}
 	return proto.MarshalOptions{}.MarshalAppend(dst, x)
 }
@@ -57,6 +58,6 @@
 	return &membership.Message{
 		Kind: membership.Kind(x.GetKind()), Sequence: x.GetSequence(), Sender: sender,
 		Target: member.Incarnation(x.GetTarget()), TargetAddress: address, TableVersion: x.GetTableVersion(),
-		Changes: changes,
+		Changes: changes, Digest: x.GetDigest(),
 	}, nil
 }
--- a/io/protocol/wire/peer/peer_test.go
+++ b/io/protocol/wire/peer/peer_test.go
@@ -42,6 +42,7 @@
 			Sequence: rapid.Uint64().Draw(t, "sequence"), Sender: drawHost(t, "sender"),
 			Target:       member.Incarnation(rapid.Uint64Min(1).Draw(t, "target")),
 			TableVersion: rapid.Uint64().Draw(t, "tables"), Changes: []member.Host{},
+			Digest: rapid.Uint64().Draw(t, "digest"),
 		}
 		m.Sender.State = member.StateLeaving
 		if m.Kind == membership.KindPingRequest {
--- a/io/transport/peer/runner.go
+++ b/io/transport/peer/runner.go
@@ -183,7 +183,7 @@
 		defer cancel()
 		page, err := r.transport.FetchMembers(ctx, from, q)
 		if err != nil {
-			return // counted by the transport; the machine asks again
+			page = nil // counted by the transport; the machine asks another peer
 		}
 		r.do(func(m *membership.Machine) { m.ReceiveMembers(from, page) })
 	})
