Add configuration end to end: tables, platform client, stand-in and commands

Cause: operators cannot edit the tables and balancers cannot receive them yet. Change: validation with all faults, segments and head, the configuration core, JSON objects and tables file of the platform API, client, editor, reader and status writer, the stand-in of the platform, the commands check, apply, get, watch and status.

--- a/command/root.go
+++ b/command/root.go
@@ -23,7 +23,12 @@
 
 // subcommands is the index of the program.
 var subcommands = map[string]func() *cobra.Command{
+	"apply":   newApplyCommand,
+	"check":   newCheckCommand,
+	"get":     newGetCommand,
+	"status":  newStatusCommand,
 	"version": newVersionCommand,
+	"watch":   newWatchCommand,
 }
 
 // InputError reports settings, tables or arguments that the user has to correct.
@@ -45,6 +50,7 @@
 	for _, build := range subcommands {
 		root.AddCommand(build())
 	}
+	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return &InputError{Message: err.Error()} })
 	root.SetArgs(args)
 	root.SetOut(stdout)
 	root.SetErr(stderr)
--- /dev/null
+++ b/command/status.go
@@ -0,0 +1,125 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"cornellb/core/state/member"
+	"cornellb/core/state/table"
+	"cornellb/io/protocol/platform"
+	transport "cornellb/io/transport/platform"
+)
+
+func newStatusCommand() *cobra.Command {
+	f := &platformFlags{}
+	c := &cobra.Command{
+		Use:   "status",
+		Short: "Print which version of the tables each balancer has in force",
+		Long: `Print which version of the tables each balancer has in force, by failure domain.
+
+The readers of a failure domain write its status at most every 5 s and only when it has changed, so that the columns
+may be some seconds old.`,
+		Example: "  cornellb status --platform http://127.0.0.1:7600",
+		Args:    inputArgs(cobra.NoArgs),
+		RunE:    func(c *cobra.Command, _ []string) error { return runStatus(c, f) },
+	}
+	f.register(c)
+	return c
+}
+
+func runStatus(c *cobra.Command, f *platformFlags) error {
+	client, err := f.client()
+	if err != nil {
+		return err
+	}
+	defer client.Close()
+	ctx, cancel := f.context(c)
+	defer cancel()
+	e := &transport.Editor{Store: client, Clock: transport.SystemClock{}}
+	head, err := e.ReadHead(ctx)
+	if err != nil {
+		return err
+	}
+	statuses, err := readStatuses(ctx, client, c.ErrOrStderr())
+	if err != nil {
+		return err
+	}
+	return printStatus(c.OutOrStdout(), head, statuses)
+}
+
+// readStatuses returns the status of each failure domain. An object that cannot be read is reported and left out.
+func readStatuses(ctx context.Context, client *transport.Client, stderr io.Writer) ([]*platform.Status, error) {
+	objects, err := client.List(ctx, platform.KindStatus)
+	if err != nil {
+		return nil, err
+	}
+	var statuses []*platform.Status
+	for _, o := range objects {
+		s, err := platform.DecodeStatus(o.Value)
+		if err != nil {
+			fmt.Fprintf(stderr, "cornellb: status/%s: %v\n", o.Name, err)
+			continue
+		}
+		statuses = append(statuses, s)
+	}
+	return statuses, nil
+}
+
+func printStatus(w io.Writer, head *table.Head, statuses []*platform.Status) error {
+	var version uint64
+	if head != nil {
+		version = head.Version
+		last := head.Changes[len(head.Changes)-1]
+		fmt.Fprintf(w, "tables: version %d by %s at %s\n", version, last.Operator, last.Time.Format(time.RFC3339))
+	} else {
+		fmt.Fprintln(w, "tables: none")
+	}
+	current, serving := countCurrent(statuses, version)
+	fmt.Fprintf(w, "members: %d of %d serving members have it in force\n\n", current, serving)
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "FAILURE DOMAIN\tHOST\tINCARNATION\tSTATE\tVERSION\tREFUSED\tUPDATED")
+	for _, s := range statuses {
+		for _, m := range s.Members {
+			fmt.Fprintf(t, "%s\t%s\t%016x\t%s\t%d\t%s\t%s\n", s.FailureDomain, m.HostID, m.Incarnation, m.State,
+				m.TableVersion, refusedText(m.RefusedVersions), s.UpdatedAt.Format(time.RFC3339))
+		}
+	}
+	return t.Flush()
+}
+
+// isServing leaves out members that no longer take new work, so that they don't look late.
+func isServing(m platform.MemberStatus) bool {
+	return m.State == member.StateAlive.String() || m.State == member.StateSuspect.String()
+}
+
+func countCurrent(statuses []*platform.Status, version uint64) (current, serving int) {
+	for _, s := range statuses {
+		for _, m := range s.Members {
+			if !isServing(m) {
+				continue
+			}
+			serving++
+			if version > 0 && m.TableVersion >= version {
+				current++
+			}
+		}
+	}
+	return current, serving
+}
+
+func refusedText(refused []platform.Refused) string {
+	if len(refused) == 0 {
+		return "-"
+	}
+	var versions []string
+	for _, r := range refused {
+		versions = append(versions, fmt.Sprint(r.Version))
+	}
+	return strings.Join(versions, ",")
+}
--- /dev/null
+++ b/io/transport/platform/client.go
@@ -0,0 +1,249 @@
+// Package platform talks to the platform's object API over HTTP: a client, the editor that operators' commands use, and
+// the reader and status writer of the balancer process.
+//
+// # Usage
+//
+// NewClient returns a Client. Its errors are types: *ConflictError, *NotFoundError, *UnavailableError, *RateLimitError
+// and *RequestError. Reads are repeated with jittered backoff until the context ends or ReadAttempts are used up; puts
+// are never repeated, because a put without a response may have taken effect. An Editor applies a change of the tables
+// and settles lost responses. A balancer runs Reader.Run and StatusWriter.Run until their contexts end.
+package platform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"cornellb/io/protocol/platform"
+)
+
+// Clock tells the time and waits.
+type Clock interface {
+	Now() time.Time
+	After(d time.Duration) <-chan time.Time
+}
+
+// SystemClock is the Clock of the operating system.
+type SystemClock struct{}
+
+// Now returns the time.
+func (SystemClock) Now() time.Time { return time.Now() }
+
+// After returns a channel that receives the time after the wait.
+func (SystemClock) After(d time.Duration) <-chan time.Time { return time.After(d) }
+
+const (
+	// DefaultTimeout bounds one call. A slow platform must still be usable.
+	DefaultTimeout = 5 * time.Second
+	// watchMargin is how long after its wait a watch counts as silent. With WatchWait it stays below the 4 s in which an
+	// accepted version must be in force, so that a silent connection is replaced in time.
+	watchMargin = time.Second
+	// ReadAttempts is the number of times that a read is tried.
+	ReadAttempts = 3
+	// firstBackoff is the mean wait before the first repetition of a read; it doubles with each one.
+	firstBackoff = 50 * time.Millisecond
+	// replyLimit bounds the bytes of a reply. Lists may hold several values of 1 MiB in base64.
+	replyLimit = 64 << 20
+	// idleTimeout closes connections before middleboxes and servers usually forget them.
+	idleTimeout = 30 * time.Second
+)
+
+// Client calls the platform.
+type Client struct {
+	url     string
+	timeout time.Duration
+	clock   Clock
+	http    *http.Client
+}
+
+// NewClient returns a client of the platform at a URL such as http://127.0.0.1:7600. Each call ends after the timeout;
+// 0 selects DefaultTimeout.
+func NewClient(url string, timeout time.Duration, clock Clock) *Client {
+	if timeout <= 0 {
+		timeout = DefaultTimeout
+	}
+	transport := &http.Transport{
+		MaxIdleConnsPerHost: 4, IdleConnTimeout: idleTimeout, DisableCompression: true,
+	}
+	return &Client{
+		url: strings.TrimSuffix(url, "/"), timeout: timeout, clock: clock, http: &http.Client{Transport: transport},
+	}
+}
+
+// Close closes idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// Get returns an object.
+func (c *Client) Get(ctx context.Context, kind, name string) (platform.Object, error) {
+	var o platform.Object
+	err := c.read(ctx, call{
+		operation: "get " + kind + "/" + name, kind: kind, name: name, path: platform.ObjectPath(kind, name), reply: &o,
+	})
+	return o, err
+}
+
+// List returns all objects of a kind.
+func (c *Client) List(ctx context.Context, kind string) ([]platform.Object, error) {
+	var l platform.ObjectList
+	err := c.read(ctx, call{operation: "list " + kind, kind: kind, path: platform.ListPath(kind), reply: &l})
+	return l.Objects, err
+}
+
+// Hosts returns the host list, which lags.
+func (c *Client) Hosts(ctx context.Context) (platform.HostList, error) {
+	var l platform.HostList
+	err := c.read(ctx, call{operation: "hosts", path: platform.HostsPath, reply: &l})
+	return l, err
+}
+
+// Watch waits until the object has another version than after and returns it. The second result is false if the wait
+// ended first. It is not repeated after an error.
+func (c *Client) Watch(ctx context.Context, kind, name string, after uint64, wait time.Duration) (
+	platform.Object, bool, error,
+) {
+	var o platform.Object
+	status, err := c.do(ctx, call{
+		operation: "watch " + kind + "/" + name, kind: kind, name: name, wait: wait,
+		path: platform.WatchQuery(kind, name, after, wait), reply: &o,
+	})
+	return o, err == nil && status == http.StatusOK, err
+}
+
+// Put writes an object if its version is ifVersion, 0 for an object that must not exist, and returns the new version.
+// After an *UnavailableError the put may have taken effect.
+func (c *Client) Put(ctx context.Context, kind, name string, value []byte, ifVersion uint64) (uint64, error) {
+	body, err := json.Marshal(platform.PutRequest{IfVersion: ifVersion, Value: value})
+	if err != nil {
+		return 0, errors.Wrap(err, "encode put")
+	}
+	var o platform.Object
+	_, err = c.do(ctx, call{
+		method: http.MethodPut, operation: "put " + kind + "/" + name, kind: kind, name: name, expected: ifVersion,
+		path: platform.ObjectPath(kind, name), body: body, reply: &o,
+	})
+	return o.Version, err
+}
+
+// call is one request with what is needed to word its errors.
+type call struct {
+	method     string // GET if empty
+	operation  string
+	kind, name string
+	path       string
+	expected   uint64
+	body       []byte
+	wait       time.Duration // of a watch; 0 for other calls
+	reply      any
+}
+
+func (c *Client) read(ctx context.Context, k call) error {
+	for attempt := 1; ; attempt++ {
+		_, err := c.do(ctx, k)
+		if err == nil || !isTemporary(err) || attempt == ReadAttempts {
+			return err
+		}
+		if !pause(ctx, c.clock, max(backoff(attempt), retryAfter(err))) {
+			return err
+		}
+	}
+}
+
+// do makes one HTTP request. The status is 0 if there was no response.
+func (c *Client) do(ctx context.Context, k call) (int, error) {
+	timeout := c.timeout
+	if k.wait > 0 {
+		timeout = k.wait + watchMargin
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	method := k.method
+	if method == "" {
+		method = http.MethodGet
+	}
+	request, err := http.NewRequestWithContext(ctx, method, c.url+k.path, bytes.NewReader(k.body))
+	if err != nil {
+		return 0, &RequestError{Operation: k.operation, Message: err.Error()}
+	}
+	if len(k.body) > 0 {
+		request.Header.Set("Content-Type", "application/json")
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		c.http.CloseIdleConnections() // other connections of the pool may be silent as well
+		return 0, &UnavailableError{Operation: k.operation, Err: err}
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(response.Body, replyLimit))
+	if err != nil {
+		return 0, &UnavailableError{Operation: k.operation, Err: err}
+	}
+	return response.StatusCode, k.interpret(response, body)
+}
+
+func (k call) interpret(response *http.Response, body []byte) error {
+	switch response.StatusCode {
+	case http.StatusNoContent:
+		return nil
+	case http.StatusOK:
+		if err := json.Unmarshal(body, k.reply); err != nil {
+			return &UnavailableError{Operation: k.operation, Err: errors.Wrap(err, "malformed reply")}
+		}
+		return nil
+	case http.StatusNotFound:
+		return &NotFoundError{Kind: k.kind, Name: k.name}
+	}
+	var reply platform.ErrorReply
+	if err := json.Unmarshal(body, &reply); err != nil {
+		reply.Message = http.StatusText(response.StatusCode)
+	}
+	switch {
+	case response.StatusCode == http.StatusConflict:
+		return &ConflictError{Kind: k.kind, Name: k.name, Expected: k.expected, Actual: reply.Version}
+	case response.StatusCode == http.StatusTooManyRequests:
+		seconds, _ := strconv.Atoi(response.Header.Get("Retry-After")) // absent or malformed means no hint
+		return &RateLimitError{Operation: k.operation, RetryAfter: time.Duration(max(seconds, 0)) * time.Second}
+	case response.StatusCode >= http.StatusInternalServerError:
+		return &UnavailableError{Operation: k.operation, Err: errors.Errorf("status %d: %s",
+			response.StatusCode, reply.Message)}
+	}
+	return &RequestError{Operation: k.operation, Status: response.StatusCode, Message: reply.Message}
+}
+
+func isTemporary(err error) bool {
+	var unavailable *UnavailableError
+	var limited *RateLimitError
+	return errors.As(err, &unavailable) || errors.As(err, &limited)
+}
+
+func retryAfter(err error) time.Duration {
+	var limited *RateLimitError
+	if errors.As(err, &limited) {
+		return limited.RetryAfter
+	}
+	return 0
+}
+
+// backoff returns the wait before the next attempt, jittered between half and one and a half of its mean.
+func backoff(attempt int) time.Duration { return jitter(firstBackoff << min(attempt-1, 6)) }
+
+func jitter(d time.Duration) time.Duration {
+	return d/2 + time.Duration(rand.Int64N(int64(d)))
+}
+
+// pause waits and reports whether the context is still open.
+func pause(ctx context.Context, clock Clock, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-clock.After(d):
+		return ctx.Err() == nil
+	}
+}
