Test the platform client, editor, reader, stand-in and commands

Cause: lost responses, late answers and a silent platform had no tests. Change: races of operators, lost and delayed writes, unknown outcomes, reader and status writer against a faulty stand-in, faults of tables files, command cases in folders.

--- /dev/null
+++ b/command/cases_test.go
@@ -0,0 +1,79 @@
+package command_test
+
+import (
+	"bytes"
+	"flag"
+	"fmt"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"cornellb/command"
+	standin "cornellb/standin/platform"
+)
+
+var update = flag.Bool("update", false, "write the output of the commands to the expected files")
+
+// TestCases runs the command lines of each folder in testdata/cases against a platform of its own and compares their
+// output and exit codes with the file expected. A line "fault MODE" sets a fault, "lose N" loses responses of writes.
+// It guards against changed messages, exit codes and results that operators and their scripts rely on.
+func TestCases(t *testing.T) {
+	folders, err := filepath.Glob("testdata/cases/*")
+	if err != nil || len(folders) == 0 {
+		t.Fatalf("no cases: %v", err)
+	}
+	for _, folder := range folders {
+		t.Run(filepath.Base(folder), func(t *testing.T) {
+			is := is.New(t)
+			folder, err := filepath.Abs(folder)
+			is.NoErr(err)
+			got := runCase(t, folder)
+			expected := filepath.Join(folder, "expected")
+			if *update {
+				is.NoErr(os.WriteFile(expected, []byte(got), 0o644))
+			}
+			want, err := os.ReadFile(expected)
+			is.NoErr(err)
+			is.Equal(got, string(want))
+		})
+	}
+}
+
+func runCase(t *testing.T, folder string) string {
+	t.Helper()
+	is := is.New(t)
+	commands, err := os.ReadFile(filepath.Join(folder, "cmd"))
+	is.NoErr(err)
+	server := standin.New(standin.Settings{})
+	h := httptest.NewServer(server)
+	defer h.Close()
+	defer server.Close()
+	t.Chdir(folder)
+	var out bytes.Buffer
+	for line := range strings.Lines(string(commands)) {
+		words := strings.Fields(line)
+		fmt.Fprintf(&out, "$ %s", line)
+		switch words[0] {
+		case "fault":
+			server.SetFault(standin.Fault{Mode: words[1]})
+		case "lose":
+			count, err := strconv.Atoi(words[1])
+			is.NoErr(err)
+			server.SetFault(standin.Fault{LoseWrites: count})
+		case "cornellb":
+			for i := range words {
+				words[i] = strings.ReplaceAll(words[i], "$PLATFORM", h.URL)
+			}
+			code := command.Execute(words[1:], &out, &out)
+			fmt.Fprintf(&out, "exit %d\n", code)
+		default:
+			t.Fatalf("unknown command %q", line)
+		}
+	}
+	return strings.ReplaceAll(out.String(), h.URL, "$PLATFORM")
+}
--- /dev/null
+++ b/io/transport/platform/platform_test.go
@@ -0,0 +1,288 @@
+package platform_test
+
+import (
+	"context"
+	"fmt"
+	"net/http/httptest"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+	"go.uber.org/goleak"
+
+	"cornellb/core/state/table"
+	protocol "cornellb/io/protocol/platform"
+	"cornellb/io/transport/platform"
+	standin "cornellb/standin/platform"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// patience bounds waits for something that must happen; it does not decide whether a test passes on a slow machine.
+const patience = 20 * time.Second
+
+// fixture is a stand-in with a client and an editor.
+type fixture struct {
+	url    string
+	server *standin.Server
+	client *platform.Client
+	editor *platform.Editor
+}
+
+func newFixture(t *testing.T, s standin.Settings) *fixture {
+	t.Helper()
+	f := &fixture{server: standin.New(s)}
+	h := httptest.NewServer(f.server)
+	f.url = h.URL
+	f.client = platform.NewClient(h.URL, 0, platform.SystemClock{})
+	f.editor = newEditor(f.client, "test")
+	t.Cleanup(func() {
+		f.client.Close()
+		f.server.Close()
+		h.Close()
+	})
+	return f
+}
+
+func newEditor(store platform.Store, operator string) *platform.Editor {
+	next := 0
+	return &platform.Editor{Store: store, Clock: platform.SystemClock{}, Operator: operator, NewID: func() string {
+		next++
+		return fmt.Sprintf("%s-%d", operator, next)
+	}}
+}
+
+func within(t *testing.T, d time.Duration) context.Context {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), d)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+func tablesFrom(version uint64, slots int) *table.Tables {
+	e := table.Endpoint{
+		Address: netip.MustParseAddrPort("10.1.0.1:9000"), FailureDomain: "a", Slots: slots, Connections: 1,
+	}
+	return &table.Tables{
+		Version: version,
+		Routes:  []table.Route{},
+		Pools:   []table.Pool{{Name: "p", Service: "s", Endpoints: []table.Endpoint{e}}},
+	}
+}
+
+// TestRacingOperators guards against a change that overwrites another one and against a change that is accepted twice.
+func TestRacingOperators(t *testing.T) {
+	const operators, rounds = 6, 8
+	f := newFixture(t, standin.Settings{})
+	ctx := within(t, patience)
+	var mutex sync.Mutex
+	accepted := make(map[uint64]string)
+	var group sync.WaitGroup
+	for i := range operators {
+		group.Go(func() {
+			is := is.New(t)
+			operator := fmt.Sprintf("operator-%d", i)
+			e := newEditor(f.client, operator)
+			for done := 0; done < rounds && ctx.Err() == nil; {
+				tables, err := e.Read(ctx)
+				is.NoErr(err)
+				result, err := e.Apply(ctx, tablesFrom(tables.Version, int(tables.Version)%900+1))
+				var conflict *platform.VersionConflictError
+				if errors.As(err, &conflict) {
+					is.Equal(conflict.Edited, tables.Version)
+					is.True(conflict.Current > tables.Version)
+					continue
+				}
+				is.NoErr(err)
+				done++
+				mutex.Lock()
+				is.Equal(accepted[result.Version], "") // no version is accepted from two operators
+				accepted[result.Version] = result.ChangeID
+				mutex.Unlock()
+			}
+		})
+	}
+	group.Wait()
+	is := is.New(t)
+	head, err := f.editor.ReadHead(ctx)
+	is.NoErr(err)
+	is.Equal(head.Version, uint64(operators*rounds))
+	for _, c := range head.Changes {
+		is.Equal(accepted[c.Version], c.ID)
+	}
+}
+
+// TestLostResponse guards against an operator who is told that an accepted change failed, and against repeating it.
+func TestLostResponse(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, standin.Settings{})
+	ctx := within(t, patience)
+	for version := range uint64(4) {
+		f.server.SetFault(standin.Fault{LoseWrites: int(version)}) // of segments first, then of the head
+		result, err := f.editor.Apply(ctx, tablesFrom(version, int(version)+1))
+		is.NoErr(err)
+		is.Equal(result.Version, version+1)
+	}
+	f.server.SetFault(standin.Fault{LoseWrites: 1, LoseKind: protocol.KindTables})
+	writes := f.server.Counters().Writes
+	_, err := f.editor.Apply(ctx, tablesFrom(4, 77))
+	is.NoErr(err)
+	is.Equal(f.server.Counters().Writes-writes, uint64(2)) // one segment and the head, each once
+	head, err := f.editor.ReadHead(ctx)
+	is.NoErr(err)
+	is.Equal(len(head.Changes), 5)
+	result, err := f.editor.Apply(ctx, tablesFrom(5, 77))
+	is.NoErr(err)
+	is.True(!result.IsChanged)
+}
+
+// delayedStore answers the first put of the head with an error and applies it when apply is called.
+type delayedStore struct {
+	platform.Store
+	apply  func()
+	onRead func()
+}
+
+func (s *delayedStore) Put(ctx context.Context, kind, name string, value []byte, ifVersion uint64) (uint64, error) {
+	if kind == protocol.KindTables && s.apply == nil {
+		s.apply = func() { _, _ = s.Store.Put(ctx, kind, name, value, ifVersion) } // may lose its race
+		return 0, &platform.UnavailableError{Operation: "put", Err: errors.New("no response")}
+	}
+	return s.Store.Put(ctx, kind, name, value, ifVersion)
+}
+
+func (s *delayedStore) Get(ctx context.Context, kind, name string) (protocol.Object, error) {
+	o, err := s.Store.Get(ctx, kind, name)
+	if s.apply != nil && s.onRead != nil {
+		s.onRead()
+		s.onRead = nil
+	}
+	return o, err
+}
+
+// TestDelayedWrite guards against a second change when the first write takes effect only after the head was read back,
+// and against success when another operator was faster.
+func TestDelayedWrite(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, standin.Settings{})
+	ctx := within(t, patience)
+	late := &delayedStore{Store: f.client}
+	late.onRead = func() { late.apply() }
+	result, err := newEditor(late, "late").Apply(ctx, tablesFrom(0, 1))
+	is.NoErr(err)
+	is.Equal(result.Version, uint64(1))
+	head, err := f.editor.ReadHead(ctx)
+	is.NoErr(err)
+	is.Equal(len(head.Changes), 1)
+
+	never := &delayedStore{Store: f.client}
+	never.onRead = func() {} // the read back shows the old head; then another operator wins
+	other := &overtaken{Store: never, overtake: func() {
+		_, err := f.editor.Apply(ctx, tablesFrom(1, 2))
+		is.NoErr(err)
+	}}
+	_, err = newEditor(other, "slow").Apply(ctx, tablesFrom(1, 3))
+	var conflict *platform.VersionConflictError
+	is.True(errors.As(err, &conflict))
+	is.Equal(*conflict, platform.VersionConflictError{Edited: 1, Current: 2})
+}
+
+// overtaken lets another operator apply a change before the second put of the head.
+type overtaken struct {
+	platform.Store
+	overtake func()
+	puts     int
+}
+
+func (s *overtaken) Put(ctx context.Context, kind, name string, value []byte, ifVersion uint64) (uint64, error) {
+	if kind == protocol.KindTables {
+		if s.puts++; s.puts == 2 {
+			s.overtake()
+		}
+	}
+	return s.Store.Put(ctx, kind, name, value, ifVersion)
+}
+
+// TestUnknownOutcome guards against a claim of success or failure when nobody can tell, and against a doubtful outcome
+// when nothing was written.
+func TestUnknownOutcome(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, standin.Settings{})
+	dead := &deadAfterPut{Store: f.client, server: f.server}
+	_, err := newEditor(dead, "dead").Apply(within(t, time.Second), tablesFrom(0, 1))
+	var unknown *platform.OutcomeUnknownError
+	is.True(errors.As(err, &unknown))
+	is.Equal(unknown.Version, uint64(1))
+	_, err = f.editor.Apply(within(t, time.Second), tablesFrom(0, 1))
+	var unavailable *platform.UnavailableError
+	is.True(errors.As(err, &unavailable))
+	is.True(!errors.As(err, &unknown))
+	f.server.SetFault(standin.Fault{})
+	head, err := f.editor.ReadHead(within(t, patience))
+	is.NoErr(err)
+	_, found := head.FindChange(unknown.ChangeID)
+	is.True(found)
+}
+
+// deadAfterPut makes the platform refuse all calls from the response to the put of the head on.
+type deadAfterPut struct {
+	platform.Store
+	server *standin.Server
+}
+
+func (s *deadAfterPut) Put(ctx context.Context, kind, name string, value []byte, ifVersion uint64) (uint64, error) {
+	if kind == protocol.KindTables {
+		s.server.SetFault(standin.Fault{LoseWrites: 1})
+		defer s.server.SetFault(standin.Fault{Mode: standin.ModeRefuse})
+	}
+	return s.Store.Put(ctx, kind, name, value, ifVersion)
+}
+
+// TestClientErrors guards against errors of the wrong type, against puts that are repeated, and against calls that do
+// not end while the platform is silent.
+func TestClientErrors(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, standin.Settings{WritesPerSecond: 5})
+	ctx := within(t, patience)
+	_, err := f.client.Get(ctx, "a", "b/c")
+	var missing *platform.NotFoundError
+	is.True(errors.As(err, &missing))
+	version, err := f.client.Put(ctx, "a", "b/c", []byte{0xff, 0}, 0)
+	is.NoErr(err)
+	o, err := f.client.Get(ctx, "a", "b/c")
+	is.NoErr(err)
+	is.Equal(o, protocol.Object{Kind: "a", Name: "b/c", Version: version, Value: []byte{0xff, 0}})
+	_, err = f.client.Put(ctx, "a", "b/c", nil, version+7)
+	var conflict *platform.ConflictError
+	is.True(errors.As(err, &conflict))
+	is.Equal(*conflict, platform.ConflictError{Kind: "a", Name: "b/c", Expected: version + 7, Actual: version})
+	_, err = f.client.Put(ctx, "a", "large", make([]byte, protocol.MaxValue+1), 0)
+	var refused *platform.RequestError
+	is.True(errors.As(err, &refused))
+	for range 20 {
+		if _, err = f.client.Put(ctx, "a", "b/c", nil, 0); !errors.As(err, &conflict) {
+			break
+		}
+	}
+	var limited *platform.RateLimitError
+	is.True(errors.As(err, &limited))
+	is.Equal(limited.RetryAfter, time.Second)
+
+	var unavailable *platform.UnavailableError
+	for _, mode := range []string{standin.ModeRefuse, standin.ModeHang} {
+		f.server.SetFault(standin.Fault{Mode: mode})
+		before := f.server.Counters()
+		brief := platform.NewClient(f.url, 50*time.Millisecond, platform.SystemClock{})
+		_, err = brief.Put(ctx, "a", "b/c", nil, version)
+		is.True(errors.As(err, &unavailable))
+		_, err = brief.Get(ctx, "a", "b/c")
+		is.True(errors.As(err, &unavailable))
+		after := f.server.Counters()
+		is.Equal(after.Writes-before.Writes, uint64(1))
+		is.Equal(after.Reads-before.Reads, uint64(platform.ReadAttempts))
+		brief.Close()
+	}
+}
--- /dev/null
+++ b/io/transport/platform/reader_test.go
@@ -0,0 +1,228 @@
+package platform_test
+
+import (
+	"context"
+	"log/slog"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"cornellb/core/coordination/configuration"
+	"cornellb/core/state/member"
+	"cornellb/core/state/table"
+	protocol "cornellb/io/protocol/platform"
+	"cornellb/io/transport/platform"
+	standin "cornellb/standin/platform"
+)
+
+// balancer is a configuration core with its reader.
+type balancer struct {
+	*configuration.State
+	versions chan uint64
+	isReader atomic.Bool
+}
+
+func (b *balancer) PutInForce(x *table.Index)               { b.versions <- x.Tables.Version }
+func (b *balancer) FetchTables(member.Host, []table.Digest) {}
+func (b *balancer) IsReader() bool                          { return b.isReader.Load() }
+
+func (b *balancer) await(t *testing.T, version uint64) {
+	t.Helper()
+	timeout := time.After(patience)
+	for {
+		select {
+		case v := <-b.versions:
+			if v == version {
+				return
+			}
+		case <-timeout:
+			t.Fatalf("version %d is not in force", version)
+		}
+	}
+}
+
+var discard = slog.New(slog.DiscardHandler)
+
+func newBalancer(t *testing.T, store platform.WatchStore) *balancer {
+	t.Helper()
+	b := &balancer{versions: make(chan uint64, 100)}
+	b.State = configuration.New(platform.SystemClock{}, b, discard)
+	b.isReader.Store(true)
+	r := &platform.Reader{
+		Store: store, Core: b, Clock: platform.SystemClock{}, Log: discard,
+		WatchWait: 50 * time.Millisecond, PollInterval: 20 * time.Millisecond,
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		r.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-ended
+	})
+	return b
+}
+
+// TestReader guards against a reader that does not come back after the platform was silent, refused calls or was slow,
+// and against one that reads although it is not a reader.
+func TestReader(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, standin.Settings{})
+	ctx := within(t, patience)
+	apply := func(version uint64) {
+		_, err := f.editor.Apply(ctx, tablesFrom(version, int(version)+1))
+		is.NoErr(err)
+	}
+	b := newBalancer(t, f.client)
+	apply(0)
+	b.await(t, 1)
+	for i, fault := range []standin.Fault{
+		{Mode: standin.ModeRefuse}, {Mode: standin.ModeHang}, {ResponseDelay: 30}, {Delay: 30},
+	} {
+		f.server.SetFault(fault)
+		before := f.server.Counters()
+		for now := before; now.Reads+now.Watches < before.Reads+before.Watches+3; now = f.server.Counters() {
+			is.NoErr(ctx.Err())
+			time.Sleep(time.Millisecond)
+		}
+		f.server.SetFault(standin.Fault{})
+		apply(uint64(i) + 1)
+		b.await(t, uint64(i)+2)
+	}
+	b.isReader.Store(false)
+	time.Sleep(100 * time.Millisecond) // the watch under way may still deliver; a later one must not exist
+	before := f.server.Counters().Watches
+	apply(5)
+	time.Sleep(100 * time.Millisecond)
+	is.Equal(f.server.Counters().Watches, before)
+	b.isReader.Store(true)
+	b.await(t, 6)
+	is.Equal(b.Counters().InForce, uint64(6))
+}
+
+// staleStore answers some reads with the first head that it saw, as an old answer that arrives late.
+type staleStore struct {
+	platform.WatchStore
+	calls int
+	first protocol.Object
+}
+
+func (s *staleStore) Watch(ctx context.Context, kind, name string, after uint64, wait time.Duration) (
+	protocol.Object, bool, error,
+) {
+	o, isChanged, err := s.WatchStore.Watch(ctx, kind, name, after, wait)
+	if err == nil && isChanged && s.first.Version == 0 {
+		s.first = o
+	}
+	if s.calls++; err == nil && s.first.Version != 0 && s.calls%2 == 0 {
+		return s.first, true, nil
+	}
+	return o, isChanged, err
+}
+
+// TestReaderOldAnswers guards against old answers of the store that take a version out of force, and against a corrupt
+// segment in force.
+func TestReaderOldAnswers(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, standin.Settings{})
+	ctx := within(t, patience)
+	b := newBalancer(t, &staleStore{WatchStore: f.client})
+	for version := range uint64(5) {
+		_, err := f.editor.Apply(ctx, tablesFrom(version, int(version)+1))
+		is.NoErr(err)
+		b.await(t, version+1)
+	}
+	next := tablesFrom(6, 99)
+	h, segments, err := table.Split(next)
+	is.NoErr(err)
+	before, err := f.editor.ReadHead(ctx)
+	is.NoErr(err)
+	h.Append(before, table.Change{ID: "corrupt"})
+	for _, s := range segments {
+		_, _ = f.client.Put(ctx, protocol.KindSegment, string(s.Digest), append(s.Data, ' '), 0) // one may exist
+	}
+	encoded, err := h.Encode()
+	is.NoErr(err)
+	o, err := f.client.Get(ctx, protocol.KindTables, protocol.NameHead)
+	is.NoErr(err)
+	_, err = f.client.Put(ctx, protocol.KindTables, protocol.NameHead, encoded, o.Version)
+	is.NoErr(err)
+	for b.Counters().Corrupt < 2 {
+		is.NoErr(ctx.Err())
+		time.Sleep(time.Millisecond)
+	}
+	is.Equal(b.Version(), uint64(5))
+	is.Equal(b.Counters().InForce, uint64(5))
+	is.True(b.Counters().Stale > 0)
+}
+
+// statusSource is a fixed status.
+type statusSource struct{ status configuration.Status }
+
+func (s *statusSource) IsReader() bool               { return true }
+func (s *statusSource) Status() configuration.Status { return s.status }
+
+func newStatusWriter(store platform.Store, self int, versions ...uint64) (*platform.StatusWriter, *statusSource) {
+	s := &statusSource{status: configuration.Status{FailureDomain: "a"}}
+	for i, v := range versions {
+		m := configuration.MemberStatus{
+			Host:    member.Host{ID: string(rune('a' + i)), FailureDomain: "a", Incarnation: member.Incarnation(i + 1)},
+			Version: v, IsSelf: i == self,
+		}
+		if m.IsSelf {
+			m.Refused = []configuration.RefusedVersion{{Version: uint64(100 + i), Reason: "slots"}}
+		}
+		s.status.Members = append(s.status.Members, m)
+	}
+	w := &platform.StatusWriter{
+		Store: store, Source: s, Clock: platform.SystemClock{}, Log: discard, Interval: time.Millisecond,
+	}
+	return w, s
+}
+
+// TestStatusWriter guards against two readers that erase each other's reports, and against writes without a change.
+func TestStatusWriter(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, standin.Settings{})
+	ctx := within(t, patience)
+	first, _ := newStatusWriter(f.client, 0, 5, 4, 3)
+	second, source := newStatusWriter(f.client, 1, 4, 5, 2)
+	is.NoErr(first.Write(ctx))
+	is.NoErr(second.Write(ctx))
+	is.NoErr(first.Write(ctx))
+	writes := f.server.Counters().Writes
+	is.NoErr(second.Write(ctx))
+	is.NoErr(first.Write(ctx))
+	is.Equal(f.server.Counters().Writes, writes)
+	o, err := f.client.Get(ctx, protocol.KindStatus, "a")
+	is.NoErr(err)
+	status, err := protocol.DecodeStatus(o.Value)
+	is.NoErr(err)
+	var versions, refused []uint64
+	for _, m := range status.Members {
+		versions = append(versions, m.TableVersion)
+		for _, r := range m.RefusedVersions {
+			refused = append(refused, r.Version)
+		}
+	}
+	is.Equal(versions, []uint64{5, 5, 3})
+	is.Equal(refused, []uint64{100, 101})
+
+	source.status.Members[2].Version = 9
+	run, cancel := context.WithCancel(ctx)
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		second.Run(run)
+	}()
+	for f.server.Counters().Writes == writes {
+		is.NoErr(ctx.Err())
+		time.Sleep(time.Millisecond)
+	}
+	cancel()
+	<-ended
+}
