--- a/command/cases_test.go
+++ b/command/cases_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"flag"
 	"fmt"
 	"net/http/httptest"
@@ -14,13 +15,15 @@
 	"github.com/matryer/is"
 
 	"cornellb/command"
+	transport "cornellb/io/transport/platform"
 	standin "cornellb/standin/platform"
 )
 
 var update = flag.Bool("update", false, "write the output of the commands to the expected files")
 
 // TestCases runs the command lines of each folder in testdata/cases against a platform of its own and compares their
-// output and exit codes with the file expected. A line "fault MODE" sets a fault, "lose N" loses responses of writes.
+// output and exit codes with the file expected. A line "fault MODE" sets a fault, "lose N" loses responses of writes, and
+// "put KIND NAME FILE" writes an object.
 // It guards against changed messages, exit codes and results that operators and their scripts rely on.
 func TestCases(t *testing.T) {
 	folders, err := filepath.Glob("testdata/cases/*")
@@ -65,6 +68,13 @@
 			count, err := strconv.Atoi(words[1])
 			is.NoErr(err)
 			server.SetFault(standin.Fault{LoseWrites: count})
+		case "put":
+			value, err := os.ReadFile(words[3])
+			is.NoErr(err)
+			client := transport.NewClient(h.URL, 0, transport.SystemClock{})
+			_, err = client.Put(context.Background(), words[1], words[2], value, 0)
+			is.NoErr(err)
+			client.Close()
 		case "cornellb":
 			for i := range words {
 				words[i] = strings.ReplaceAll(words[i], "$PLATFORM", h.URL)
--- a/core/coordination/configuration/configuration.go
+++ b/core/coordination/configuration/configuration.go
@@ -56,6 +56,7 @@
 	actions Actions
 	log     *slog.Logger
 
+	offers   sync.Mutex // held for a whole offer and taken before mutex; only its holder changes the head
 	mutex    sync.Mutex
 	view     *member.View
 	readers  []member.Host
--- a/core/coordination/configuration/offer.go
+++ b/core/coordination/configuration/offer.go
@@ -42,70 +42,94 @@
 // than the version in force, or that was refused before, is not an error. Errors are *table.HeadError, *table.MissingError and
 // *table.ValidationError.
 func (s *State) Offer(source Source, h *table.Head, segments []*table.Segment) error {
+	s.offers.Lock()
+	defer s.offers.Unlock()
+	s.endFetch(source)
+	digest, isWanted, err := s.beginOffer(h)
+	var t *table.Tables
+	var known map[table.Digest]*table.Segment
+	if err == nil && isWanted {
+		known = s.collect(h, segments)
+		t, err = assemble(h, known)
+	}
+	s.endOffer(h, digest, known, t, err)
+	return err
+}
+
+// assemble runs without the lock of the state: at the two-year size it takes longer than gossip and packets may wait.
+func assemble(h *table.Head, segments map[table.Digest]*table.Segment) (*table.Tables, error) {
+	t, err := table.Join(h, func(d table.Digest) *table.Segment { return segments[d] })
+	if err != nil {
+		return nil, err
+	}
+	return t, table.Validate(t)
+}
+
+func (s *State) endFetch(source Source) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if source.Peer != 0 {
 		s.peers.endFetch(source.Peer)
 	}
-	err := s.consider(h, segments)
-	s.countOffer(err)
-	s.startFetch()
-	return err
 }
 
-// OfferFailed counts an offer whose head or segment could not be decoded.
-func (s *State) OfferFailed(source Source) {
+func (s *State) beginOffer(h *table.Head) (digest table.Digest, isWanted bool, err error) {
+	if err := h.Check(); err != nil {
+		return "", false, err
+	}
+	encoded, err := h.Encode()
+	if err != nil {
+		return "", false, err
+	}
+	digest = table.DigestOf(encoded)
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.counters.Corrupt++
-	if source.Peer != 0 && s.peers.endFetch(source.Peer) {
-		s.counters.Failures++
+	switch {
+	case h.Version <= s.version():
+		s.countStale(h, digest)
+	case s.wasRefused(digest):
+		s.counters.Refused++
+	default:
+		isWanted = true
 	}
-	s.startFetch()
+	return digest, isWanted, nil
 }
 
-func (s *State) countOffer(err error) {
+func (s *State) endOffer(h *table.Head, digest table.Digest, segments map[table.Digest]*table.Segment,
+	t *table.Tables, err error,
+) {
+	var index *table.Index
+	if t != nil && err == nil {
+		index = table.NewIndex(t)
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
 	var head *table.HeadError
 	var missing *table.MissingError
 	var invalid *table.ValidationError
 	switch {
+	case index != nil:
+		s.install(h, digest, segments, index)
 	case errors.As(err, &head):
 		s.counters.Corrupt++
 	case errors.As(err, &missing):
 		s.counters.Incomplete++
 	case errors.As(err, &invalid):
 		s.counters.Refused++
+		s.refuse(h, digest, err)
 	}
+	s.startFetch()
 }
 
-func (s *State) consider(h *table.Head, offered []*table.Segment) error {
-	if err := h.Check(); err != nil {
-		return err
-	}
-	encoded, err := h.Encode()
-	if err != nil {
-		return err
-	}
-	digest := table.DigestOf(encoded)
-	if h.Version <= s.version() {
-		s.countStale(h, digest)
-		return nil
-	}
-	if s.wasRefused(digest) {
-		s.counters.Refused++
-		return nil
-	}
-	segments := s.collect(h, offered)
-	t, err := table.Join(h, func(d table.Digest) *table.Segment { return segments[d] })
-	if err != nil {
-		return err
-	}
-	if err := table.Validate(t); err != nil {
-		s.refuse(h, digest, err)
-		return err
+// OfferFailed counts an offer whose head or segment could not be decoded.
+func (s *State) OfferFailed(source Source) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.counters.Corrupt++
+	if source.Peer != 0 && s.peers.endFetch(source.Peer) {
+		s.counters.Failures++
 	}
-	s.install(h, digest, segments, t)
-	return nil
+	s.startFetch()
 }
 
 // countStale keeps the version in force. Two contents of one version mean that the store was reset or restored; the
@@ -120,27 +144,30 @@
 
 // collect returns the segments of the head only, so that segments of former versions are released.
 func (s *State) collect(h *table.Head, offered []*table.Segment) map[table.Digest]*table.Segment {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	candidates := make(map[table.Digest]*table.Segment, len(offered))
+	for _, o := range offered {
+		candidates[o.Digest] = o
+	}
 	all := make(map[table.Digest]*table.Segment)
 	for _, d := range h.Digests() {
 		if known := s.segments[d]; known != nil {
 			all[d] = known
-		}
-	}
-	for _, o := range offered {
-		if o != nil && slices.Contains(h.Routes, o.Digest) || o != nil && slices.Contains(h.Pools, o.Digest) {
-			all[o.Digest] = o
+		} else if candidates[d] != nil {
+			all[d] = candidates[d]
 		}
 	}
 	return all
 }
 
-func (s *State) install(h *table.Head, d table.Digest, segments map[table.Digest]*table.Segment, t *table.Tables) {
+func (s *State) install(h *table.Head, d table.Digest, segments map[table.Digest]*table.Segment, x *table.Index) {
 	now := s.clock.Now()
 	if s.head == nil {
 		s.loadedAt = now
 	}
 	before := s.version()
-	s.head, s.encoded, s.segments, s.index = h, d, segments, table.NewIndex(t)
+	s.head, s.encoded, s.segments, s.index = h, d, segments, x
 	s.counters.InForce++
 	s.peers.drop(h.Version)
 	s.log.Info("tables put in force", "version", h.Version, "before", before)
--- a/core/state/table/validate.go
+++ b/core/state/table/validate.go
@@ -58,7 +58,6 @@
 func Validate(t *Tables) error {
 	c := &checker{
 		addresses: make(map[netip.AddrPort]string, len(t.Routes)),
-		endpoints: make(map[netip.AddrPort]string),
 		pools:     make(map[string]*Pool, len(t.Pools)),
 	}
 	c.checkPools(t.Pools)
@@ -69,18 +68,32 @@
 	return &ValidationError{Faults: c.faults}
 }
 
-// EntryName returns the name that faults use for the entry at a position of its table.
-func EntryName(name string, position int) string {
+// EntryNames names the entries of one table in faults. An entry without a usable name is named by its position, and
+// the position is added to a name that an earlier entry has, so that every fault names one entry.
+type EntryNames struct {
+	seen map[string]bool
+}
+
+// Next returns the name of the entry at a position. It is called once for each entry, in their order.
+func (n *EntryNames) Next(name string, position int) string {
 	if name == "" || !isPrintable(name) {
 		return fmt.Sprintf("#%d", position+1)
 	}
+	if n.seen == nil {
+		n.seen = make(map[string]bool)
+	}
+	if n.seen[name] {
+		return fmt.Sprintf("%s (#%d)", name, position+1)
+	}
+	n.seen[name] = true
 	return name
 }
 
 type checker struct {
 	faults    []Fault
 	addresses map[netip.AddrPort]string // service address to route
-	endpoints map[netip.AddrPort]string // endpoint address to pool
+	endpoints map[netip.AddrPort]int32  // endpoint address to position of its pool
+	names     []string                  // entry names of the pools
 	pools     map[string]*Pool
 }
 
@@ -89,21 +102,22 @@
 }
 
 func (c *checker) checkRoutes(routes []Route) {
+	var entries EntryNames
 	names := make(map[string]bool, len(routes))
 	for i := range routes {
 		r := &routes[i]
-		entry := EntryName(r.Name, i)
+		entry := entries.Next(r.Name, i)
 		c.checkTags(Routes, entry, "", r)
 		if names[r.Name] && r.Name != "" {
 			c.add(Routes, entry, "name", "is used by more than one route")
 		}
 		names[r.Name] = true
-		if c.checkAddress(Routes, entry, "address", r.Address) {
-			if other, found := c.addresses[r.Address]; found {
-				c.add(Routes, entry, "address", "%s is also the address of route %s", r.Address, other)
-			} else {
-				c.addresses[r.Address] = entry
-			}
+		if reason := addressFault(r.Address); reason != "" {
+			c.add(Routes, entry, "address", "%s", reason)
+		} else if other, found := c.addresses[r.Address]; found {
+			c.add(Routes, entry, "address", "%s is also the address of route %s", r.Address, other)
+		} else {
+			c.addresses[r.Address] = entry
 		}
 		c.checkPoolOf(r, entry)
 	}
@@ -123,53 +137,69 @@
 }
 
 func (c *checker) checkPools(pools []Pool) {
+	var entries EntryNames
+	count := 0
+	for i := range pools {
+		count += len(pools[i].Endpoints)
+	}
+	c.endpoints = make(map[netip.AddrPort]int32, count)
 	for i := range pools {
 		p := &pools[i]
-		entry := EntryName(p.Name, i)
+		entry := entries.Next(p.Name, i)
 		c.checkTags(Pools, entry, "", p)
 		if _, found := c.pools[p.Name]; found && p.Name != "" {
 			c.add(Pools, entry, "name", "is used by more than one pool")
 		} else {
 			c.pools[p.Name] = p
 		}
+		c.names = append(c.names, entry)
 		for j := range p.Endpoints {
-			c.checkEndpoint(entry, fmt.Sprintf("endpoints[%d].", j), &p.Endpoints[j])
+			c.checkEndpoint(entry, j, &p.Endpoints[j])
 		}
 	}
 }
 
-func (c *checker) checkEndpoint(entry, prefix string, e *Endpoint) {
-	c.checkTags(Pools, entry, prefix, e)
-	if !c.checkAddress(Pools, entry, prefix+"address", e.Address) {
+func (c *checker) checkEndpoint(entry string, position int, e *Endpoint) {
+	if !isPlain(e) {
+		c.checkTags(Pools, entry, endpointPrefix(position), e)
+	}
+	if reason := addressFault(e.Address); reason != "" {
+		c.add(Pools, entry, endpointPrefix(position)+"address", "%s", reason)
 		return
 	}
 	if other, found := c.endpoints[e.Address]; found {
-		c.add(Pools, entry, prefix+"address", "%s is already an endpoint of pool %s", e.Address, other)
+		c.add(Pools, entry, endpointPrefix(position)+"address", "%s is already an endpoint of pool %s",
+			e.Address, c.names[other])
 		return
 	}
-	c.endpoints[e.Address] = entry
+	c.endpoints[e.Address] = int32(len(c.names) - 1)
+}
+
+func endpointPrefix(position int) string { return fmt.Sprintf("endpoints[%d].", position) }
+
+// isPlain reports whether an endpoint is valid without a look at its tags. Balancers validate 130,000 endpoints for each
+// change, and reading the tags takes most of that time. The bounds must not be wider than those of the tags.
+func isPlain(e *Endpoint) bool {
+	return e.Slots >= 1 && e.Slots <= 1000 && e.Connections >= 1 && e.Connections <= 100000 &&
+		e.FailureDomain != "" && len(e.FailureDomain) <= 64 && isPrintable(e.FailureDomain)
 }
 
-// checkAddress accepts only one way to write an address. An IPv4 address mapped into IPv6 would otherwise be a second
+// addressFault accepts only one way to write an address. An IPv4 address mapped into IPv6 would otherwise be a second
 // key for the same service address, and packets would miss their route.
-func (c *checker) checkAddress(table, entry, field string, a netip.AddrPort) bool {
-	reason := ""
+func addressFault(a netip.AddrPort) string {
 	switch {
 	case !a.IsValid():
-		reason = "is missing or not an address with a port"
+		return "is missing or not an address with a port"
 	case a.Port() == 0:
-		reason = "port must not be 0"
+		return "port must not be 0"
 	case a.Addr().Is4In6():
-		reason = "must be written as an IPv4 address"
+		return "must be written as an IPv4 address"
 	case a.Addr().Zone() != "":
-		reason = "must not have a zone"
+		return "must not have a zone"
 	case a.Addr().IsUnspecified() || a.Addr().IsMulticast():
-		reason = "must be the address of one host"
-	default:
-		return true
+		return "must be the address of one host"
 	}
-	c.add(table, entry, field, "%s", reason)
-	return false
+	return ""
 }
 
 // entryValidator reads the validate tags of the entries and names fields as files do.
--- a/core/state/table/validate_test.go
+++ b/core/state/table/validate_test.go
@@ -72,8 +72,8 @@
 				t.Pools[0].Endpoints[0].FailureDomain = ""
 			},
 			want: []string{
-				"pools chamber endpoints[0].failure_domain", "pools chamber name", "routes chamber name",
-				"routes chamber pool",
+				"pools chamber endpoints[0].failure_domain", "pools chamber (#2) name", "routes chamber (#2) name",
+				"routes chamber (#2) pool",
 			},
 		},
 		"texts that do not survive the encoding": {
--- a/io/protocol/platform/file.go
+++ b/io/protocol/platform/file.go
@@ -131,9 +131,10 @@
 		r.add(place{table: fileTable}, name, n, "must be a list")
 		return nil
 	}
+	var names table.EntryNames
 	entries := make([]T, 0, len(n.Content))
 	for i, c := range n.Content {
-		entries = append(entries, read(c, place{table: name, entry: table.EntryName(nameOf(c), i)}))
+		entries = append(entries, read(c, place{table: name, entry: names.Next(nameOf(c), i)}))
 	}
 	return entries
 }
@@ -211,10 +212,11 @@
 	return found
 }
 
+// nameOf returns what text will return for the field name of an entry.
 func nameOf(n *yaml.Node) string {
 	for i := 0; n.Kind == yaml.MappingNode && i+1 < len(n.Content); i += 2 {
-		if n.Content[i].Value == "name" && n.Content[i+1].Kind == yaml.ScalarNode {
-			return n.Content[i+1].Value
+		if n.Content[i].Value == "name" {
+			return (&fileReader{}).text(n.Content[i+1], place{}, "name")
 		}
 	}
 	return ""
--- a/io/transport/platform/editor.go
+++ b/io/transport/platform/editor.go
@@ -50,11 +50,9 @@
 	if err != nil || stored.head == nil {
 		return &table.Tables{}, err
 	}
-	segments := make(map[table.Digest]*table.Segment)
-	for _, d := range stored.head.Digests() {
-		if segments[d], err = fetchSegment(ctx, e.Store, d); err != nil {
-			return nil, err
-		}
+	segments, err := fetchSegments(ctx, e.Store, stored.head.Digests(), nil)
+	if err != nil {
+		return nil, err
 	}
 	return table.Join(stored.head, func(d table.Digest) *table.Segment { return segments[d] })
 }
@@ -228,14 +226,3 @@
 	}
 	return true, &VersionConflictError{Edited: h.Version - 1, Current: stored.head.Version}
 }
-
-// fetchSegment reads and checks one segment.
-func fetchSegment(ctx context.Context, store interface {
-	Get(ctx context.Context, kind, name string) (platform.Object, error)
-}, d table.Digest) (*table.Segment, error) {
-	o, err := store.Get(ctx, platform.KindSegment, string(d))
-	if err != nil {
-		return nil, err
-	}
-	return table.ParseSegment(d, o.Value)
-}
--- a/io/transport/platform/reader.go
+++ b/io/transport/platform/reader.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -45,9 +47,10 @@
 	WatchWait    time.Duration // 0 selects WatchWait
 	PollInterval time.Duration // 0 selects PollInterval
 
-	after     uint64 // object version of the last head that was settled
-	isPolling bool   // watches fail
-	isFailing bool   // the last poll failed as well
+	after     uint64                          // object version of the last head that was settled
+	isPolling bool                            // watches fail
+	isFailing bool                            // the last poll failed as well
+	fetched   map[table.Digest]*table.Segment // kept while the head is not settled, so that a retry makes progress
 }
 
 // Run reads until the context ends.
@@ -97,7 +100,9 @@
 
 // poll reads the head once and reports whether the store is usable.
 func (r *Reader) poll(ctx context.Context) bool {
-	o, err := r.Store.Get(ctx, platform.KindTables, platform.NameHead)
+	head, cancel := context.WithTimeout(ctx, r.pollInterval()) // includes the repetitions of the read
+	defer cancel()
+	o, err := r.Store.Get(head, platform.KindTables, platform.NameHead)
 	var missing *NotFoundError
 	switch {
 	case errors.As(err, &missing):
@@ -128,15 +133,13 @@
 		return err
 	}
 	digests, _ := r.Core.Wants(h)
-	segments := make([]*table.Segment, 0, len(digests))
-	for _, d := range digests {
-		s, err := fetchSegment(ctx, r.Store, d)
-		if err != nil {
-			r.Core.OfferFailed(configuration.Source{})
-			return err
-		}
-		segments = append(segments, s)
+	r.fetched, err = fetchSegments(ctx, r.Store, digests, r.fetched)
+	if err != nil {
+		r.Core.OfferFailed(configuration.Source{})
+		return err
 	}
+	segments := slices.Collect(maps.Values(r.fetched))
+	r.fetched = nil
 	err = r.Core.Offer(configuration.Source{}, h, segments)
 	var invalid *table.ValidationError
 	if err == nil || errors.As(err, &invalid) {
--- a/io/transport/platform/reader_test.go
+++ b/io/transport/platform/reader_test.go
@@ -77,7 +77,9 @@
 		_, err := f.editor.Apply(ctx, tablesFrom(version, int(version)+1))
 		is.NoErr(err)
 	}
-	b := newBalancer(t, f.client)
+	brief := platform.NewClient(f.url, 100*time.Millisecond, platform.SystemClock{}) // a silent call ends soon
+	t.Cleanup(brief.Close)
+	b := newBalancer(t, brief)
 	apply(0)
 	b.await(t, 1)
 	for i, fault := range []standin.Fault{
