--- a/core/coordination/configuration/offer.go
+++ b/core/coordination/configuration/offer.go
@@ -38,7 +38,7 @@
 }
 
 // Offer puts the tables of a head in force if they are complete, valid and higher than the version in force. Segments
-// that are already known may be left out. The error says why the offer could not be used; an offer that is not higher
+// that are already known may be left out; the others come from table.ParseSegment, which checks their digests. The error says why the offer could not be used; an offer that is not higher
 // than the version in force, or that was refused before, is not an error. Errors are *table.HeadError, *table.MissingError and
 // *table.ValidationError.
 func (s *State) Offer(source Source, h *table.Head, segments []*table.Segment) error {
--- a/core/state/table/head.go
+++ b/core/state/table/head.go
@@ -16,6 +16,9 @@
 // change, so the limit bounds how many other changes may follow before the outcome can no longer be told.
 const ChangeLimit = 64
 
+// changeTextLimit bounds the ID and the operator of a change in bytes, so that 64 changes stay a small part of a head.
+const changeTextLimit = 128
+
 // digestBytes truncates SHA-256: 128 bits keep accidental and second-preimage collisions out of reach and halve the
 // digests that a member sends when it asks a peer for tables.
 const digestBytes = 16
@@ -112,6 +115,12 @@
 		if want := h.Version - uint64(n-1-i); c.Version != want || want == 0 || want > h.Version {
 			return &HeadError{Reason: fmt.Sprintf("change %d has version %d, the head version %d", i+1, c.Version, h.Version)}
 		}
+		for _, text := range []string{c.ID, c.Operator} {
+			if len(text) > changeTextLimit || !isPrintable(text) {
+				return &HeadError{Reason: fmt.Sprintf(
+					"ID or operator of change %d is not printable or exceeds %d bytes", i+1, changeTextLimit)}
+			}
+		}
 	}
 	return nil
 }
--- a/core/state/table/segment_test.go
+++ b/core/state/table/segment_test.go
@@ -6,6 +6,7 @@
 	"math/rand"
 	"net/netip"
 	"os"
+	"strings"
 	"testing"
 	"time"
 
@@ -186,8 +187,11 @@
 
 	jump := headWith(1, 2)
 	jump.Version = 1 << 60
+	long := headWith(1)
+	long.Changes[0].Operator = strings.Repeat("x", 1<<20)
 	for name, h := range map[string]*table.Head{
-		"version 0": headWith(0), "no change": headWith(), "gap": headWith(1, 3), "jump": jump,
+		"long operator": long,
+		"version 0":     headWith(0), "no change": headWith(), "gap": headWith(1, 3), "jump": jump,
 		"wrapped": headWith(1<<64-1, 0, 1),
 	} {
 		var faulty *table.HeadError
--- a/io/transport/platform/editor.go
+++ b/io/transport/platform/editor.go
@@ -64,7 +64,7 @@
 }
 
 // Apply makes the tables the successor of the version that t.Version names. It returns a *table.ValidationError, a
-// *VersionConflictError if the store has another version, an *OutcomeUnknownError if the store became unavailable after
+// *VersionConflictError if the store has another version, a *table.HeadError for a faulty operator name, an *OutcomeUnknownError if the store became unavailable after
 // the change may have been accepted, or an error of the Store.
 func (e *Editor) Apply(ctx context.Context, t *table.Tables) (Result, error) {
 	if err := table.Validate(t); err != nil {
@@ -86,11 +86,14 @@
 	if before.head != nil && len(head.Missing(has(before.head.Digests()))) == 0 && sameTables(head, before.head) {
 		return Result{Version: t.Version}, nil
 	}
+	change := table.Change{ID: e.NewID(), Operator: e.Operator, Time: e.Clock.Now().UTC().Truncate(time.Millisecond)}
+	head.Append(before.head, change)
+	if err := head.Check(); err != nil {
+		return Result{}, err
+	}
 	if err := e.writeSegments(ctx, before.head, segments); err != nil {
 		return Result{}, err
 	}
-	change := table.Change{ID: e.NewID(), Operator: e.Operator, Time: e.Clock.Now().UTC().Truncate(time.Millisecond)}
-	head.Append(before.head, change)
 	if err := e.writeHead(ctx, head, before.version, change.ID); err != nil {
 		return Result{}, err
 	}
--- a/io/transport/platform/platform_test.go
+++ b/io/transport/platform/platform_test.go
@@ -216,7 +216,7 @@
 	var unknown *platform.OutcomeUnknownError
 	is.True(errors.As(err, &unknown))
 	is.Equal(unknown.Version, uint64(1))
-	_, err = f.editor.Apply(within(t, time.Second), tablesFrom(0, 1))
+	_, err = f.editor.Apply(within(t, time.Second), tablesFrom(1, 2))
 	var unavailable *platform.UnavailableError
 	is.True(errors.As(err, &unavailable))
 	is.True(!errors.As(err, &unknown))
--- a/io/transport/platform/reader.go
+++ b/io/transport/platform/reader.go
@@ -57,7 +57,6 @@
 func (r *Reader) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		if !r.Core.IsReader() {
-			r.after = 0 // offer the present head at once when the member becomes a reader again
 			pause(ctx, r.Clock, roleInterval)
 			continue
 		}
--- a/io/transport/platform/reader_test.go
+++ b/io/transport/platform/reader_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/matryer/is"
 
 	"cornellb/core/coordination/configuration"
@@ -106,6 +107,85 @@
 	is.Equal(b.Counters().InForce, uint64(6))
 }
 
+// brokenStore counts its calls. Without a head all of them fail; otherwise one segment of the head is missing.
+type brokenStore struct {
+	head             []byte
+	segment          *table.Segment
+	watches, polls   atomic.Int32
+	segments, absent atomic.Int32
+}
+
+func (s *brokenStore) Watch(context.Context, string, string, uint64, time.Duration) (protocol.Object, bool, error) {
+	s.watches.Add(1)
+	return s.answer()
+}
+
+func (s *brokenStore) answer() (protocol.Object, bool, error) {
+	if s.head == nil {
+		return protocol.Object{}, false, &platform.UnavailableError{Operation: "test", Err: context.DeadlineExceeded}
+	}
+	return protocol.Object{Version: 1, Value: s.head}, true, nil
+}
+
+func (s *brokenStore) Get(_ context.Context, kind, name string) (protocol.Object, error) {
+	switch {
+	case kind == protocol.KindTables:
+		s.polls.Add(1)
+		o, _, err := s.answer()
+		return o, err
+	case name == string(s.segment.Digest):
+		s.segments.Add(1)
+		return protocol.Object{Version: 1, Value: s.segment.Data}, nil
+	}
+	for s.segments.Load() == 0 { // the other segment is read first
+		time.Sleep(time.Millisecond)
+	}
+	s.absent.Add(1)
+	return protocol.Object{}, &platform.NotFoundError{Kind: kind, Name: name}
+}
+
+// TestReaderPollInterval guards against a reader that calls a broken platform without a pause, stops polling, or reads
+// again what it has.
+func TestReaderPollInterval(t *testing.T) {
+	is := is.New(t)
+	h, segments, err := table.Split(&table.Tables{
+		Version: 1, Routes: []table.Route{{Name: "r", Service: "s", Pool: "p"}}, Pools: tablesFrom(1, 1).Pools,
+	})
+	is.NoErr(err)
+	h.Append(nil, table.Change{ID: "a"})
+	head, err := h.Encode()
+	is.NoErr(err)
+	for name, store := range map[string]*brokenStore{
+		"no answers": {}, "missing segment": {head: head, segment: segments[0]},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			ctx, cancel := context.WithTimeout(context.Background(), patience)
+			clock := clockwork.NewFakeClock()
+			b := &balancer{}
+			b.State = configuration.New(clock, b, discard)
+			b.isReader.Store(true)
+			r := &platform.Reader{Store: store, Core: b, Clock: clock, Log: discard}
+			ended := make(chan struct{})
+			go func() {
+				defer close(ended)
+				r.Run(ctx)
+			}()
+			for polls := int32(1); polls <= 10; polls++ {
+				is.NoErr(clock.BlockUntilContext(ctx, 1))
+				is.Equal(store.polls.Load(), polls)
+				is.Equal(store.watches.Load(), int32(1))
+				is.True(store.segments.Load() <= 1)
+				is.True(store.absent.Load() <= polls+1)
+				clock.Advance(platform.PollInterval)
+			}
+			cancel()
+			<-ended
+			is.Equal(b.Version(), uint64(0))
+		})
+	}
+}
+
 // staleStore answers some reads with the first head that it saw, as an old answer that arrives late.
 type staleStore struct {
 	platform.WatchStore
