--- /dev/null
+++ b/io/transport/client/answer.go
@@ -0,0 +1,93 @@
+package client
+
+import (
+	"bytes"
+
+	"github.com/cespare/xxhash/v2"
+
+	"cornellb/core/state/packet"
+	"cornellb/io/protocol/wire"
+)
+
+// maxAssemblies bounds the partial answers of one request. More than one occurs when an idempotent request ran more than
+// once and its runs gave different answers, whose segments must not be mixed.
+const maxAssemblies = 4
+
+type segmentState int
+
+const (
+	segmentInvalid  segmentState = iota // impossible numbers
+	segmentOld                          // received before
+	segmentNew                          // more are missing
+	segmentWhole                        // the answer is complete and its digest matches
+	segmentMismatch                     // all segments are there, but size or digest differ
+)
+
+// answerKey tells the answers of different runs apart.
+type answerKey struct {
+	segments, size uint32
+	digest         uint64
+}
+
+type assembly struct {
+	parts    [][]byte
+	missing  int
+	received int // bytes
+}
+
+// assembler puts the segments of a request's answer together.
+type assembler struct {
+	assemblies map[answerKey]*assembly
+	order      []answerKey // oldest first
+}
+
+// add takes a segment, and returns the whole answer with segmentWhole.
+func (a *assembler) add(p *packet.Packet) ([]byte, segmentState) {
+	if p.Size > packet.MaxAnswerBytes || p.Segments == 0 || p.Segments > wire.MaxSegments || p.Segment >= p.Segments ||
+		p.Segments > max(1, p.Size) || len(p.Payload) > int(p.Size) {
+		return nil, segmentInvalid
+	}
+	key := answerKey{segments: p.Segments, size: p.Size, digest: p.Digest}
+	s := a.assembly(key)
+	if s.parts[p.Segment] != nil {
+		return nil, segmentOld
+	}
+	s.parts[p.Segment] = append(make([]byte, 0, len(p.Payload)), p.Payload...)
+	s.received += len(p.Payload)
+	s.missing--
+	if s.missing > 0 && s.received <= int(p.Size) {
+		return nil, segmentNew
+	}
+	answer := bytes.Join(s.parts, nil)
+	if len(answer) != int(p.Size) || xxhash.Sum64(answer) != p.Digest {
+		a.remove(key)
+		return nil, segmentMismatch
+	}
+	return answer, segmentWhole
+}
+
+func (a *assembler) assembly(key answerKey) *assembly {
+	if s := a.assemblies[key]; s != nil {
+		return s
+	}
+	if a.assemblies == nil {
+		a.assemblies = make(map[answerKey]*assembly)
+	}
+	if len(a.order) == maxAssemblies {
+		a.remove(a.order[0])
+	}
+	s := &assembly{parts: make([][]byte, key.segments), missing: int(key.segments)}
+	a.assemblies[key] = s
+	a.order = append(a.order, key)
+	return s
+}
+
+func (a *assembler) remove(key answerKey) {
+	delete(a.assemblies, key)
+	for i, k := range a.order {
+		if k == key {
+			a.order = append(a.order[:i], a.order[i+1:]...)
+			return
+		}
+	}
+}
--- /dev/null
+++ b/io/transport/client/client.go
@@ -0,0 +1,279 @@
+// Package client is the library with which callers use a service behind cornellb.
+//
+// # Usage
+//
+// Dial opens one flow over its own socket. A program with many flows calls Connect once per socket and Client.Open for
+// each flow:
+//
+//	flow, err := client.Dial(ctx, "192.0.2.1:4000", client.Options{Customer: "attiki", Class: packet.ClassNormal})
+//	answer, err := flow.Do(ctx, client.Request{Payload: p, Timeout: time.Second})
+//
+// Do returns exactly one of: the whole answer, a *NotRunError (the request did not run and will not run), or an
+// *UnknownError (it may have run). A *NotRunError may be followed by another Do after its RetryAfter. A caller that
+// repeats a request after an *UnknownError accepts that it may run twice.
+//
+// Subscribe starts the flow's feed. Feed.Next returns its items in order, without gap or duplicate, while balancers and
+// backend servers change. Every flow must be closed.
+//
+// Opens and requests are retransmitted until their deadline. A request keeps its number and its ticket over all
+// retransmissions, because the owner recognises a retransmission by the number, and only the owner that the ticket names
+// may run a request that is not idempotent.
+package client
+
+import (
+	"context"
+	crand "crypto/rand"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+
+	"cornellb/core/state/packet"
+	"cornellb/io/protocol/wire"
+)
+
+const (
+	defaultTimeout = 5 * time.Second
+	firstBackoff   = 100 * time.Millisecond
+	maxBackoff     = 2 * time.Second
+	tickPeriod     = 25 * time.Millisecond
+	pingPeriod     = time.Second
+	// readPause keeps a socket that reports errors, such as a refused port on loopback, from busy looping.
+	readPause = 10 * time.Millisecond
+	// receiveBufferBytes holds a few whole answers of the largest size.
+	receiveBufferBytes = 4 << 20
+)
+
+// Settings are the parameters of a Client.
+type Settings struct {
+	Clock Clock       // SystemClock if nil
+	Seed  rand.Source // source of flow IDs and jitter; a random one if nil
+}
+
+// Options are the parameters of a flow.
+type Options struct {
+	Customer string
+	Class    packet.Class
+	Timeout  time.Duration // limit for opening the flow; 5 s if 0
+	Clock    Clock         // used by Dial only
+}
+
+// Client is a socket that many flows share. Its methods may be called concurrently.
+type Client struct {
+	connection io.ReadWriteCloser
+	clock      Clock
+	counters   counters
+	done       chan struct{}
+	running    sync.WaitGroup
+	closeOnce  sync.Once
+
+	randomLock sync.Mutex
+	random     *rand.Rand
+
+	lock  sync.RWMutex
+	flows map[packet.FlowID]*Flow
+}
+
+// Dial opens a flow over a socket of its own, which Flow.Close closes. It returns a *NotRunError if a balancer refused
+// the flow or none answered in time.
+func Dial(ctx context.Context, address string, o Options) (*Flow, error) {
+	c, err := Connect(address, Settings{Clock: o.Clock})
+	if err != nil {
+		return nil, err
+	}
+	f, err := c.Open(ctx, o)
+	if err != nil {
+		c.Close()
+		return nil, err
+	}
+	f.ownsClient = true
+	return f, nil
+}
+
+// Connect prepares a socket towards a service address. Nothing is sent.
+func Connect(address string, s Settings) (*Client, error) {
+	connection, err := net.Dial("udp", address)
+	if err != nil {
+		return nil, err
+	}
+	if u, ok := connection.(*net.UDPConn); ok {
+		// A smaller buffer than asked for costs retransmissions only.
+		_ = u.SetReadBuffer(receiveBufferBytes)
+	}
+	return New(connection, s), nil
+}
+
+// New returns a client on a connection that keeps datagram boundaries. The client owns the connection.
+func New(connection io.ReadWriteCloser, s Settings) *Client {
+	if s.Clock == nil {
+		s.Clock = SystemClock{}
+	}
+	if s.Seed == nil {
+		var seed [32]byte
+		// crypto/rand.Read never returns an error.
+		_, _ = crand.Read(seed[:])
+		s.Seed = rand.NewChaCha8(seed)
+	}
+	c := &Client{
+		connection: connection,
+		clock:      s.Clock,
+		done:       make(chan struct{}),
+		random:     rand.New(s.Seed),
+		flows:      make(map[packet.FlowID]*Flow),
+	}
+	c.running.Add(2)
+	go c.receive()
+	go c.tick()
+	return c
+}
+
+// Counters returns the current counts.
+func (c *Client) Counters() Counters { return c.counters.snapshot() }
+
+// Close closes all flows and the socket.
+func (c *Client) Close() {
+	c.closeOnce.Do(func() {
+		for _, f := range c.list() {
+			f.shut()
+		}
+		close(c.done)
+		_ = c.connection.Close()
+	})
+	c.running.Wait()
+}
+
+func (c *Client) list() []*Flow {
+	c.lock.RLock()
+	defer c.lock.RUnlock()
+	flows := make([]*Flow, 0, len(c.flows))
+	for _, f := range c.flows {
+		flows = append(flows, f)
+	}
+	return flows
+}
+
+func (c *Client) receive() {
+	defer c.running.Done()
+	buffer := make([]byte, 2*packet.MaxDatagramBytes)
+	decoder := wire.NewDecoder()
+	var p packet.Packet
+	for {
+		n, err := c.connection.Read(buffer)
+		if err != nil {
+			if errors.Is(err, net.ErrClosed) || errors.Is(err, io.EOF) || !c.pause(readPause) {
+				return
+			}
+			continue
+		}
+		c.counters.received.Add(1)
+		if err := decoder.DecodePacket(buffer[:n], &p); err != nil {
+			c.counters.malformed.Add(1)
+			continue
+		}
+		c.handle(&p)
+	}
+}
+
+func (c *Client) handle(p *packet.Packet) {
+	c.lock.RLock()
+	f := c.flows[p.Flow]
+	c.lock.RUnlock()
+	if f == nil {
+		c.counters.otherFlow.Add(1)
+		return
+	}
+	f.handle(p)
+}
+
+func (c *Client) tick() {
+	defer c.running.Done()
+	for c.pause(tickPeriod) {
+		now := c.clock.Now()
+		for _, f := range c.list() {
+			f.tick(now)
+		}
+	}
+}
+
+// pause waits and reports whether the client is still open.
+func (c *Client) pause(d time.Duration) bool {
+	expired, stop := c.clock.NewTimer(d)
+	defer stop()
+	select {
+	case <-expired:
+		return true
+	case <-c.done:
+		return false
+	}
+}
+
+func (c *Client) send(p *packet.Packet) {
+	encoded := wire.AppendPacket(make([]byte, 0, packet.MaxDatagramBytes), p)
+	c.counters.sent.Add(1)
+	if _, err := c.connection.Write(encoded); err != nil {
+		c.counters.sendErrors.Add(1)
+	}
+}
+
+// jitter returns a random duration between three quarters and five quarters of d.
+func (c *Client) jitter(d time.Duration) time.Duration {
+	c.randomLock.Lock()
+	defer c.randomLock.Unlock()
+	return d*3/4 + time.Duration(c.random.Int64N(int64(d/2)+1))
+}
+
+func (c *Client) newFlowID() (id packet.FlowID) {
+	c.randomLock.Lock()
+	defer c.randomLock.Unlock()
+	for i := 0; i < len(id); i += 8 {
+		v := c.random.Uint64()
+		for j := range 8 {
+			id[i+j] = byte(v >> (8 * j))
+		}
+	}
+	return id
+}
+
+// retransmit calls send with backoff until settled is closed. It returns nil then, a *DeadlineError, a *ClosedError, or
+// the error of the context. A receive from progress restarts the backoff.
+func (c *Client) retransmit(ctx context.Context, deadline time.Time, settled, closed <-chan struct{},
+	progress <-chan struct{}, send func(left time.Duration),
+) error {
+	backoff := firstBackoff
+	for n := 0; ; n++ {
+		left := deadline.Sub(c.clock.Now())
+		if left <= 0 {
+			return &DeadlineError{}
+		}
+		if err := ctx.Err(); err != nil {
+			return err
+		}
+		if n > 0 {
+			c.counters.retransmitted.Add(1)
+		}
+		send(left)
+		for again := true; again; {
+			wait := min(c.jitter(backoff), deadline.Sub(c.clock.Now()))
+			expired, stop := c.clock.NewTimer(wait)
+			select {
+			case <-settled:
+				stop()
+				return nil
+			case <-closed:
+				stop()
+				return &ClosedError{}
+			case <-ctx.Done():
+				stop()
+				return ctx.Err()
+			case <-progress:
+				stop()
+				backoff = firstBackoff
+			case <-expired:
+				again = false
+			}
+		}
+		backoff = min(2*backoff, maxBackoff)
+	}
+}
--- /dev/null
+++ b/io/transport/client/counters.go
@@ -0,0 +1,35 @@
+package client
+
+import "sync/atomic"
+
+// Counters counts datagrams and the reasons for which received ones were dropped.
+type Counters struct {
+	Sent           uint64 `json:"sent"`
+	SendErrors     uint64 `json:"send_errors"`
+	Retransmitted  uint64 `json:"retransmitted"`
+	Received       uint64 `json:"received"`
+	Malformed      uint64 `json:"malformed"`       // not a packet, or a kind that balancers do not send
+	OtherFlow      uint64 `json:"other_flow"`      // no such flow at this client
+	OtherRequest   uint64 `json:"other_request"`   // no such request in progress: late, duplicate or crossed
+	BadSegment     uint64 `json:"bad_segment"`     // impossible segment numbers or sizes
+	DigestMismatch uint64 `json:"digest_mismatch"` // whole answers whose size or digest is wrong
+	DuplicateItem  uint64 `json:"duplicate_item"`  // feed items that were received before
+	ItemOverflow   uint64 `json:"item_overflow"`   // feed items beyond the buffer
+	OldTicket      uint64 `json:"old_ticket"`      // tickets that a later one had replaced before
+	Resubscribed   uint64 `json:"resubscribed"`
+}
+
+type counters struct {
+	sent, sendErrors, retransmitted, received, malformed, otherFlow, otherRequest, badSegment, digestMismatch,
+	duplicateItem, itemOverflow, oldTicket, resubscribed atomic.Uint64
+}
+
+func (c *counters) snapshot() Counters {
+	return Counters{
+		Sent: c.sent.Load(), SendErrors: c.sendErrors.Load(), Retransmitted: c.retransmitted.Load(),
+		Received: c.received.Load(), Malformed: c.malformed.Load(), OtherFlow: c.otherFlow.Load(),
+		OtherRequest: c.otherRequest.Load(), BadSegment: c.badSegment.Load(), DigestMismatch: c.digestMismatch.Load(),
+		DuplicateItem: c.duplicateItem.Load(), ItemOverflow: c.itemOverflow.Load(), OldTicket: c.oldTicket.Load(),
+		Resubscribed: c.resubscribed.Load(),
+	}
+}
--- /dev/null
+++ b/io/transport/client/flow.go
@@ -0,0 +1,219 @@
+package client
+
+import (
+	"bytes"
+	"context"
+	"sync"
+	"time"
+
+	"cornellb/core/state/packet"
+)
+
+// replacedTickets is the number of earlier tickets that a flow remembers. A delayed packet with one of them must not
+// bring it back, because its owner may have handed the flow over.
+const replacedTickets = 8
+
+// Flow is a sequence of requests, and at most one feed, that balancers keep on one backend server as long as possible.
+// Its methods may be called concurrently.
+type Flow struct {
+	client     *Client
+	id         packet.FlowID
+	options    Options
+	ownsClient bool
+
+	settled chan struct{} // closed when the open has an outcome
+	done    chan struct{} // closed by Close
+
+	lock     sync.Mutex
+	isOpen   bool
+	isClosed bool
+	refusal  *NotRunError // outcome of the open if it was refused
+	ticket   []byte
+	replaced [][]byte
+	last     uint64 // last request number in use
+	requests map[uint64]*request
+	room     chan struct{} // closed and replaced when a request settles
+	feed     *Feed
+	nextPing time.Time
+}
+
+// Open opens a flow. It returns a *NotRunError if a balancer refused the flow or none answered in time.
+func (c *Client) Open(ctx context.Context, o Options) (*Flow, error) {
+	if len(o.Customer) > packet.MaxNameBytes {
+		cause := &SizeError{Field: "customer", Size: len(o.Customer), Limit: packet.MaxNameBytes}
+		return nil, &NotRunError{Reason: packet.ReasonLimit, Cause: cause}
+	}
+	if o.Timeout <= 0 {
+		o.Timeout = defaultTimeout
+	}
+	f := &Flow{
+		client:   c,
+		id:       c.newFlowID(),
+		options:  o,
+		settled:  make(chan struct{}),
+		done:     make(chan struct{}),
+		requests: make(map[uint64]*request),
+		room:     make(chan struct{}),
+	}
+	c.lock.Lock()
+	c.flows[f.id] = f
+	c.lock.Unlock()
+	err := f.open(ctx)
+	if err != nil {
+		c.forget(f)
+		return nil, err
+	}
+	return f, nil
+}
+
+func (c *Client) forget(f *Flow) {
+	c.lock.Lock()
+	delete(c.flows, f.id)
+	c.lock.Unlock()
+}
+
+func (f *Flow) open(ctx context.Context) error {
+	deadline := f.client.clock.Now().Add(f.options.Timeout)
+	err := f.client.retransmit(ctx, deadline, f.settled, f.done, nil, func(left time.Duration) {
+		f.client.send(&packet.Packet{
+			Kind: packet.KindOpen, Flow: f.id, Class: f.options.Class, Customer: f.options.Customer, Timeout: left,
+		})
+	})
+	if err != nil {
+		return &NotRunError{Reason: reasonOf(err), Cause: err}
+	}
+	if f.refusal != nil {
+		return f.refusal
+	}
+	return nil
+}
+
+// reasonOf returns the reason for an outcome that the client itself decides.
+func reasonOf(err error) packet.Reason {
+	if _, ok := err.(*DeadlineError); ok || err == context.DeadlineExceeded {
+		return packet.ReasonTimeout
+	}
+	return packet.ReasonCancelled
+}
+
+// ID returns the flow's ID.
+func (f *Flow) ID() packet.FlowID { return f.id }
+
+// Close ends the flow. Requests in progress return an *UnknownError and Feed.Next returns a *ClosedError.
+func (f *Flow) Close() {
+	f.shut()
+	if f.ownsClient {
+		f.client.Close()
+	}
+}
+
+func (f *Flow) shut() {
+	f.lock.Lock()
+	if f.isClosed {
+		f.lock.Unlock()
+		return
+	}
+	f.isClosed = true
+	close(f.done)
+	if f.feed != nil {
+		f.feed.fail(&ClosedError{})
+	}
+	ticket := f.ticket
+	f.lock.Unlock()
+	f.client.forget(f)
+	if ticket != nil {
+		f.client.send(&packet.Packet{Kind: packet.KindClose, Flow: f.id, Ticket: ticket})
+	}
+}
+
+// handle processes a packet that names this flow.
+func (f *Flow) handle(p *packet.Packet) {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	if f.isClosed {
+		f.client.counters.otherFlow.Add(1)
+		return
+	}
+	switch p.Kind {
+	case packet.KindOpened:
+		f.handleOpened(p)
+	case packet.KindAnswer:
+		f.handleAnswer(p)
+	case packet.KindNotRun, packet.KindUnknown:
+		f.handleRefusal(p)
+	case packet.KindItem:
+		f.handleItem(p)
+	case packet.KindPong:
+	default:
+		f.client.counters.malformed.Add(1)
+		return
+	}
+	if f.isOpen {
+		f.setTicket(p.Ticket)
+	}
+}
+
+func (f *Flow) handleOpened(p *packet.Packet) {
+	if f.isOpen || f.refusal != nil || len(p.Ticket) == 0 {
+		return
+	}
+	f.isOpen = true
+	f.nextPing = f.client.clock.Now().Add(f.client.jitter(pingPeriod))
+	f.setTicket(p.Ticket)
+	close(f.settled)
+}
+
+func (f *Flow) handleRefusal(p *packet.Packet) {
+	switch {
+	case p.Request != 0:
+		f.settleRefused(p)
+	case f.isOpen && f.feed != nil:
+		f.feed.handleRefusal(p)
+	case !f.isOpen && f.refusal == nil && p.Kind == packet.KindNotRun:
+		f.refusal = &NotRunError{Reason: p.Reason, RetryAfter: p.RetryAfter}
+		close(f.settled)
+	default:
+		f.client.counters.otherRequest.Add(1)
+	}
+}
+
+// setTicket replaces the ticket for later requests, unless t is one that was replaced before.
+func (f *Flow) setTicket(t []byte) {
+	if len(t) == 0 || bytes.Equal(t, f.ticket) {
+		return
+	}
+	for _, r := range f.replaced {
+		if bytes.Equal(t, r) {
+			f.client.counters.oldTicket.Add(1)
+			return
+		}
+	}
+	if f.ticket != nil {
+		f.replaced = append(f.replaced, f.ticket)
+		if len(f.replaced) > replacedTickets {
+			f.replaced = f.replaced[1:]
+		}
+	}
+	f.ticket = bytes.Clone(t)
+}
+
+// tick sends what is due: keepalives and subscriptions.
+func (f *Flow) tick(now time.Time) {
+	f.lock.Lock()
+	var due []*packet.Packet
+	if f.isOpen && !f.isClosed {
+		if !now.Before(f.nextPing) {
+			f.nextPing = now.Add(pingPeriod)
+			due = append(due, &packet.Packet{Kind: packet.KindPing, Flow: f.id, Ticket: f.ticket})
+		}
+		if f.feed != nil {
+			if p := f.feed.subscription(now); p != nil {
+				due = append(due, p)
+			}
+		}
+	}
+	f.lock.Unlock()
+	for _, p := range due {
+		f.client.send(p)
+	}
+}
