--- /dev/null
+++ b/cmd/standin/serve.go
@@ -0,0 +1,40 @@
+package main
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// headerTimeout bounds the time for which a client of a control endpoint may hold a connection without a request.
+const headerTimeout = 5 * time.Second
+
+// serveControl serves a control endpoint until ctx ends.
+func serveControl(ctx context.Context, address string, handler http.Handler) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	slog.Info("serving", "control", listener.Addr().String())
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+// cutPair splits a flag value of the form KEY=VALUE.
+func cutPair(flag, value string) (key, rest string, err error) {
+	key, rest, ok := strings.Cut(value, "=")
+	if !ok || key == "" || rest == "" {
+		return "", "", errors.Errorf("--%s %s: want the form KEY=VALUE", flag, value)
+	}
+	return key, rest, nil
+}
--- a/io/transport/client/counters.go
+++ b/io/transport/client/counters.go
@@ -33,3 +33,20 @@
 		Resubscribed: c.resubscribed.Load(),
 	}
 }
+
+// Add adds the counts of another client.
+func (c *Counters) Add(o Counters) {
+	c.Sent += o.Sent
+	c.SendErrors += o.SendErrors
+	c.Retransmitted += o.Retransmitted
+	c.Received += o.Received
+	c.Malformed += o.Malformed
+	c.OtherFlow += o.OtherFlow
+	c.OtherRequest += o.OtherRequest
+	c.BadSegment += o.BadSegment
+	c.DigestMismatch += o.DigestMismatch
+	c.DuplicateItem += o.DuplicateItem
+	c.ItemOverflow += o.ItemOverflow
+	c.OldTicket += o.OldTicket
+	c.Resubscribed += o.Resubscribed
+}
--- /dev/null
+++ b/standin/caller/caller.go
@@ -0,0 +1,185 @@
+// Package caller is a load generator: customers with equal demand that open flows, send requests and follow feeds with
+// the client library, and that check every answer and every feed item.
+//
+// # Usage
+//
+//	result, err := caller.Run(ctx, caller.Config{
+//		Targets:  []caller.Target{{Service: "reminders", Address: "127.0.0.1:4000", Rate: 500, Feeds: 6}},
+//		Customers: 6, Duration: 10 * time.Second, Seed: 1,
+//	})
+//
+// Flows begin at a constant rate, whatever the answers, so that a slow service does not lower the demand. Sizes,
+// classes and pauses come from the seed. The number of requests and of open flows is bounded.
+package caller
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"cornellb/core/state/packet"
+	"cornellb/io/transport/client"
+)
+
+// Target is a service to call.
+type Target struct {
+	Service string
+	Address string  // UDP address on which the fabric takes datagrams for the service
+	Rate    float64 // requests per second over all customers
+	Feeds   int     // feeds that stay open during the whole run
+}
+
+// Config is the set-up of a run.
+type Config struct {
+	Targets         []Target
+	Customers       int
+	Duration        time.Duration
+	Seed            uint64
+	Name            string                     // prefix of request IDs, unique per run against the same backend servers
+	RequestsPerFlow int                        // 5 if 0
+	Pause           time.Duration              // mean pause between the requests of a flow
+	IdempotentShare float64                    // share of idempotent requests, 0 to 1
+	ClassShares     [packet.ClassCount]float64 // relative; all normal if all are 0
+	LargeShare      float64                    // share of answers of LargeBytes instead of SmallBytes
+	SmallBytes      int
+	LargeBytes      int
+	Timeout         time.Duration // of requests and opens; 5 s if 0
+	MaxFlows        int           // open at a time; 2,000 if 0
+	Sockets         int           // per target; 8 if 0
+}
+
+const (
+	// openAttempts is the number of opens after which the requests of a flow count as not run.
+	openAttempts = 3
+	// maxRequests bounds a run.
+	maxRequests = 500_000
+	// retryLimit bounds the time for which a flow waits because a refusal said so.
+	retryLimit = 500 * time.Millisecond
+	// feedLimit is the pause after which a feed counts as ended.
+	feedLimit = 10 * time.Second
+)
+
+func (c Config) withDefaults() Config {
+	set := func(v *int, d int) {
+		if *v <= 0 {
+			*v = d
+		}
+	}
+	set(&c.Customers, 1)
+	set(&c.RequestsPerFlow, 5)
+	set(&c.MaxFlows, 2000)
+	set(&c.Sockets, 8)
+	set(&c.SmallBytes, 200)
+	set(&c.LargeBytes, 10_000)
+	if c.Timeout <= 0 {
+		c.Timeout = 5 * time.Second
+	}
+	if c.ClassShares == ([packet.ClassCount]float64{}) {
+		c.ClassShares[packet.ClassNormal] = 1
+	}
+	return c
+}
+
+// run is the state of one Run.
+type run struct {
+	config   Config
+	recorder *recorder
+	open     chan struct{} // one element per open flow
+	flows    sync.WaitGroup
+}
+
+// Run generates load until the duration has passed or ctx ends, waits for the outcomes of all requests, and returns what
+// the callers saw. The error is that of a socket that could not be opened.
+func Run(ctx context.Context, c Config) (*Result, error) {
+	c = c.withDefaults()
+	r := &run{config: c, recorder: newRecorder(c.Name, c.Seed), open: make(chan struct{}, c.MaxFlows)}
+	var clients []*client.Client
+	defer func() {
+		for _, x := range clients {
+			x.Close()
+		}
+	}()
+	started := time.Now()
+	ctx, stop := context.WithTimeout(ctx, c.Duration)
+	defer stop()
+	sockets := make([][]*client.Client, len(c.Targets))
+	for i, t := range c.Targets {
+		for range c.Sockets {
+			x, err := client.Connect(t.Address, client.Settings{})
+			if err != nil {
+				return nil, err
+			}
+			clients = append(clients, x)
+			sockets[i] = append(sockets[i], x)
+		}
+	}
+	var targets sync.WaitGroup
+	for i, t := range c.Targets {
+		for n := range t.Feeds {
+			r.flows.Go(func() { r.feed(ctx, t, sockets[i][n%c.Sockets], n) })
+		}
+		targets.Go(func() { r.target(ctx, i, t, sockets[i]) })
+	}
+	targets.Wait()
+	r.flows.Wait()
+	return r.recorder.finish(time.Since(started), sum(clients)), nil
+}
+
+func sum(clients []*client.Client) (total client.Counters) {
+	for _, x := range clients {
+		total.Add(x.Counters())
+	}
+	return total
+}
+
+// target begins flows at the target's rate.
+func (r *run) target(ctx context.Context, index int, t Target, sockets []*client.Client) {
+	if t.Rate <= 0 {
+		return
+	}
+	c := r.config
+	interval := time.Duration(float64(c.RequestsPerFlow) / t.Rate * float64(time.Second))
+	limit := maxRequests / c.RequestsPerFlow / len(c.Targets)
+	began := time.Now()
+	for n := range limit {
+		wait := time.Until(began.Add(time.Duration(n) * interval))
+		if !sleep(ctx, wait) {
+			return
+		}
+		select {
+		case r.open <- struct{}{}:
+		default:
+			r.recorder.update(func(x *Result) { x.FlowsSkipped++ })
+			continue
+		}
+		r.flows.Go(func() {
+			defer func() { <-r.open }()
+			s := &session{
+				run: r, target: t, socket: sockets[n%len(sockets)], customer: fmt.Sprintf("customer-%d", n%c.Customers),
+				prefix: fmt.Sprintf("%s/%s/%d", c.Name, t.Service, n),
+				random: rand.New(rand.NewPCG(c.Seed+uint64(index)<<32, uint64(n))),
+			}
+			s.execute()
+		})
+	}
+}
+
+// sleep reports whether the time passed before ctx ended.
+func sleep(ctx context.Context, d time.Duration) bool {
+	if ctx.Err() != nil {
+		return false
+	}
+	if d <= 0 {
+		return true
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
