--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -24,6 +24,7 @@
 	"caller":  newCallerCommand,
 	"fabric":  newFabricCommand,
 	"verdict": newVerdictCommand,
+	"wait":    newWaitCommand,
 }
 
 func main() {
--- a/standin/backend/report.go
+++ b/standin/backend/report.go
@@ -55,6 +55,7 @@
 
 // Handler returns the control endpoint:
 //
+//	GET  /readyz                         succeeds
 //	GET  /report                         Report
 //	POST /leaving?on=BOOL                SetLeaving
 //	POST /freeze?all=BOOL                Freeze
@@ -64,6 +65,7 @@
 //	POST /load?lag=DURATION&lie=NUMBER   SetLoadReport
 func (s *Server) Handler() http.Handler {
 	mux := http.NewServeMux()
+	mux.HandleFunc("GET /readyz", func(http.ResponseWriter, *http.Request) {})
 	mux.HandleFunc("GET /report", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json")
 		// An error means that the client went away.
--- a/standin/fabric/control.go
+++ b/standin/fabric/control.go
@@ -38,6 +38,7 @@
 
 // Handler returns the control endpoint:
 //
+//	GET  /readyz                succeeds while a balancer is healthy
 //	GET  /counters              Counters
 //	GET  /health                healthy balancers as a JSON list
 //	POST /cut?balancer=ADDRESS  drops all datagrams from and to a balancer
@@ -45,6 +46,11 @@
 //	POST /faults                takes Faults as JSON
 func (f *Fabric) Handler() http.Handler {
 	mux := http.NewServeMux()
+	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if len(f.healthy()) == 0 {
+			http.Error(w, "no balancer is healthy", http.StatusServiceUnavailable)
+		}
+	})
 	mux.HandleFunc("GET /counters", func(w http.ResponseWriter, _ *http.Request) { reply(w, f.Counters()) })
 	mux.HandleFunc("GET /health", func(w http.ResponseWriter, _ *http.Request) { reply(w, f.healthy()) })
 	mux.HandleFunc("POST /cut", func(w http.ResponseWriter, r *http.Request) { f.handleCut(w, r, true) })
