--- a/cmd/standin/serve.go
+++ b/cmd/standin/serve.go
@@ -11,8 +11,8 @@
 	"github.com/pkg/errors"
 )
 
-// headerTimeout bounds the time for which a client of a control endpoint may hold a connection without a request.
-const headerTimeout = 5 * time.Second
+// controlHeaderTimeout bounds the time for which a client of a control endpoint may hold a connection without a request.
+const controlHeaderTimeout = 5 * time.Second
 
 // serveControl serves a control endpoint until ctx ends.
 func serveControl(ctx context.Context, address string, handler http.Handler) error {
@@ -20,7 +20,7 @@
 	if err != nil {
 		return err
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: controlHeaderTimeout}
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
 	slog.Info("serving", "control", listener.Addr().String())
--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -155,7 +155,7 @@
 start platform bin/standin platform --listen "$PLATFORM"
 start_backends
 start_fabric
-bin/standin wait --limit "$READY_LIMIT" "http://$PLATFORM/readyz" "${backend_urls[@]/%//readyz}"
+bin/standin wait --limit "$READY_LIMIT" "http://$PLATFORM/control/counters" "${backend_urls[@]/%//readyz}"
 bin/cornellb apply --platform "http://$PLATFORM" "$DIRECTORY/tables.yaml"
 
 balancer_urls=()
