Name customers by a prefix, count subscriptions by their meaning, test request payloads

Cause: a flood run needs customers of its own next to the measured ones; the counter included first subscriptions.

--- a/cmd/standin/caller.go
+++ b/cmd/standin/caller.go
@@ -63,6 +63,7 @@
 	flags.StringVar(&f.result, "result", "", "file for the result; standard output if empty")
 	flags.StringVar(&config.Name, "name", "", "prefix of request IDs; from the time if empty")
 	flags.IntVar(&config.Customers, "customers", 6, "number of customers")
+	flags.StringVar(&config.CustomerPrefix, "customer-prefix", "customer", "customers are named PREFIX-NUMBER")
 	flags.DurationVar(&config.Duration, "duration", 10*time.Second, "time during which flows begin")
 	flags.Uint64Var(&config.Seed, "seed", 1, "seed of sizes, classes and pauses")
 	flags.IntVar(&config.RequestsPerFlow, "requests", 5, "requests per flow")
--- a/io/transport/client/counters.go
+++ b/io/transport/client/counters.go
@@ -16,12 +16,12 @@
 	DuplicateItem  uint64 `json:"duplicate_item"`  // feed items that were received before
 	ItemOverflow   uint64 `json:"item_overflow"`   // feed items beyond the buffer
 	OldTicket      uint64 `json:"old_ticket"`      // tickets that a later one had replaced before
-	Resubscribed   uint64 `json:"resubscribed"`
+	Subscribed     uint64 `json:"subscribed"`      // Subscribe packets, the first and the repeated ones
 }
 
 type counters struct {
 	sent, sendErrors, retransmitted, received, malformed, otherFlow, otherRequest, badSegment, digestMismatch,
-	duplicateItem, itemOverflow, oldTicket, resubscribed atomic.Uint64
+	duplicateItem, itemOverflow, oldTicket, subscribed atomic.Uint64
 }
 
 func (c *counters) snapshot() Counters {
@@ -30,7 +30,7 @@
 		Received: c.received.Load(), Malformed: c.malformed.Load(), OtherFlow: c.otherFlow.Load(),
 		OtherRequest: c.otherRequest.Load(), BadSegment: c.badSegment.Load(), DigestMismatch: c.digestMismatch.Load(),
 		DuplicateItem: c.duplicateItem.Load(), ItemOverflow: c.itemOverflow.Load(), OldTicket: c.oldTicket.Load(),
-		Resubscribed: c.resubscribed.Load(),
+		Subscribed: c.subscribed.Load(),
 	}
 }
 
@@ -48,5 +48,5 @@
 	c.DuplicateItem += o.DuplicateItem
 	c.ItemOverflow += o.ItemOverflow
 	c.OldTicket += o.OldTicket
-	c.Resubscribed += o.Resubscribed
+	c.Subscribed += o.Subscribed
 }
--- a/io/transport/client/feed.go
+++ b/io/transport/client/feed.go
@@ -119,7 +119,7 @@
 	}
 	d.nextSubscribe = now.Add(d.flow.client.jitter(d.backoff))
 	d.backoff = min(2*d.backoff, feedSilence)
-	d.flow.client.counters.resubscribed.Add(1)
+	d.flow.client.counters.subscribed.Add(1)
 	return &packet.Packet{
 		Kind: packet.KindSubscribe, Flow: d.flow.id, Ticket: d.flow.ticket, Feed: d.name, Sequence: d.next,
 	}
--- a/standin/caller/caller.go
+++ b/standin/caller/caller.go
@@ -35,6 +35,7 @@
 type Config struct {
 	Targets         []Target
 	Customers       int
+	CustomerPrefix  string // customers are named PREFIX-NUMBER; "customer" if empty
 	Duration        time.Duration
 	Seed            uint64
 	Name            string                     // prefix of request IDs, unique per run against the same backend servers
@@ -68,6 +69,9 @@
 		}
 	}
 	set(&c.Customers, 1)
+	if c.CustomerPrefix == "" {
+		c.CustomerPrefix = "customer"
+	}
 	set(&c.RequestsPerFlow, 5)
 	set(&c.MaxFlows, 2000)
 	set(&c.Sockets, 8)
@@ -82,6 +86,9 @@
 	return c
 }
 
+// customer returns the customer of the nth flow or feed. Turns give every customer the same demand.
+func (c Config) customer(n int) string { return fmt.Sprintf("%s-%d", c.CustomerPrefix, n%c.Customers) }
+
 // run is the state of one Run.
 type run struct {
 	config   Config
@@ -157,7 +164,7 @@
 		r.flows.Go(func() {
 			defer func() { <-r.open }()
 			s := &session{
-				run: r, target: t, socket: sockets[n%len(sockets)], customer: fmt.Sprintf("customer-%d", n%c.Customers),
+				run: r, target: t, socket: sockets[n%len(sockets)], customer: c.customer(n),
 				prefix: fmt.Sprintf("%s/%s/%d", c.Name, t.Service, n),
 				random: rand.New(rand.NewPCG(c.Seed+uint64(index)<<32, uint64(n))),
 			}
--- a/standin/caller/session.go
+++ b/standin/caller/session.go
@@ -171,8 +171,7 @@
 func (r *run) openFeedFlow(ctx context.Context, socket *client.Client, n int) *client.Flow {
 	for ctx.Err() == nil {
 		f, err := socket.Open(ctx, client.Options{
-			Customer: fmt.Sprintf("customer-%d", n%r.config.Customers), Class: packet.ClassNormal,
-			Timeout: r.config.Timeout,
+			Customer: r.config.customer(n), Class: packet.ClassNormal, Timeout: r.config.Timeout,
 		})
 		if err == nil {
 			return f
--- /dev/null
+++ b/standin/content/content_test.go
@@ -0,0 +1,28 @@
+package content
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+// TestRequest guards against IDs that change on the way, which would hide executions, and against a panic on payloads
+// that are damaged.
+func TestRequest(t *testing.T) {
+	is := is.New(t)
+	q := Request{ID: "run/1", Service: "reminders", Size: 1000}
+	encoded := q.Append(nil)
+	got, err := ParseRequest(encoded)
+	is.NoErr(err)
+	is.Equal(got, q)
+	is.Equal(len(q.Answer()), q.Size)
+	for n := range encoded {
+		_, err := ParseRequest(encoded[:n])
+		is.True(err != nil)
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		// Only panics matter here.
+		_, _ = ParseRequest(rapid.SliceOf(rapid.Byte()).Draw(t, "payload"))
+	})
+}
