Guard the fake service's tickets by its lock, test answers at the segment limits

Cause: TestTicketReplaced changed the fake service's tickets without its lock; the race detector found it in one of three runs. Change: service.issue; TestAnswerSizes up to the largest answer at 20 % loss; the demo's killed balancer can be chosen.

--- a/io/transport/client/client_test.go
+++ b/io/transport/client/client_test.go
@@ -208,7 +208,9 @@
 		f(is, w, x)
 		x.Close()
 		synctest.Wait()
+		w.service.lock.Lock()
 		is.Equal(len(w.service.faults), 0)
+		w.service.lock.Unlock()
 		is.Equal(w.service.count(packet.KindClose), 1)
 	})
 }
@@ -290,6 +292,25 @@
 	}
 }
 
+// TestAnswerSizes guards against answers at the limits of segments that are refused, cut or never complete.
+func TestAnswerSizes(t *testing.T) {
+	for name, size := range map[string]int{
+		"empty": 0, "one segment": packet.MaxPayloadBytes, "two segments": packet.MaxPayloadBytes + 1,
+		"largest": packet.MaxAnswerBytes,
+	} {
+		t.Run(name, func(t *testing.T) {
+			inWorld(t, func(is *is.I, w *world, x *Flow) {
+				w.network.lock.Lock()
+				w.network.loss = 0.2
+				w.network.lock.Unlock()
+				answer, err := x.Do(context.Background(), Request{Payload: fmt.Appendf(nil, "answer a %d", size), Timeout: time.Hour})
+				is.NoErr(err)
+				is.Equal(string(answer), string(answerTo("a", size)))
+			})
+		})
+	}
+}
+
 // TestWindow guards against a request that pushes an unfinished one out of the owner's window of records, which would
 // make its outcome unknown.
 func TestWindow(t *testing.T) {
@@ -324,7 +345,7 @@
 					return string(w.service.lastOf(packet.KindRequest).Ticket)
 				}
 				first := do()
-				w.service.flows[x.ID()].tickets = append(w.service.flows[x.ID()].tickets, []byte("second"))
+				w.service.issue(x.ID(), []byte("second"))
 				x.handle(&packet.Packet{Kind: kind, Flow: x.ID(), Request: 99, Ticket: []byte("second")})
 				is.Equal(do(), "second")
 				x.handle(&packet.Packet{Kind: kind, Flow: x.ID(), Request: 99, Ticket: []byte(first)})
--- a/io/transport/client/fake_test.go
+++ b/io/transport/client/fake_test.go
@@ -200,6 +200,13 @@
 	return false
 }
 
+// issue gives a flow another ticket.
+func (s *service) issue(id packet.FlowID, ticket []byte) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.flows[id].tickets = append(s.flows[id].tickets, ticket)
+}
+
 // reply sends p, with a new ticket at times.
 func (s *service) reply(f *served, p *packet.Packet) {
 	s.network.lock.Lock()
--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -6,6 +6,7 @@
 cd "$(dirname "$0")/.."
 
 KILL="${KILL:-}"
+KILL_BALANCER="${KILL_BALANCER:-1}" # index of the balancer that KILL=1 kills
 BASE_PORT="${BASE_PORT:-21000}"
 SECONDS_OF_LOAD="${SECONDS_OF_LOAD:-10}"
 READY_LIMIT=30s
@@ -172,11 +173,12 @@
 caller_pid=$last_pid
 checks=(--broken-flows 0 --answered 0.95)
 if [ -n "$KILL" ] && [ "$KILL" != 0 ]; then
-  # An unplanned loss may break flows and leave outcomes unknown for as long as its detection takes (about 4 s).
-  checks=(--answered 0.7)
+  # An unplanned loss may break flows, and requests to the lost owner have no answer until its loss is detected (about
+  # 4 s). An owner of 2 of the 6 pool shards holds a third of the load for 4 of 10 s (13 %); the bound is twice that.
+  checks=(--answered 0.73)
   sleep $((SECONDS_OF_LOAD / 2))
-  kill -KILL "${balancer_pid[1]}"
-  echo "demo: killed balancer-1"
+  kill -KILL "${balancer_pid[$KILL_BALANCER]}"
+  echo "demo: killed balancer-$KILL_BALANCER"
 fi
 wait "$caller_pid"
 
