--- a/core/state/flow/flow.go
+++ b/core/state/flow/flow.go
@@ -30,6 +30,13 @@
 // String returns the key as used in logs.
 func (k ShardKey) String() string { return fmt.Sprintf("%s/%s/%d", k.Pool, k.FailureDomain, k.Group) }
 
+// Grant is the right of one incarnation to run a flow's non-idempotent requests. The serial number rises with each
+// creation of a flow at that incarnation, so that a ticket from before a flow expired there is told from a later one.
+type Grant struct {
+	Owner  member.Incarnation
+	Serial uint64
+}
+
 // Ticket is the routing state of a flow, carried by the caller and authenticated by the balancers' common key.
 type Ticket struct {
 	Flow     packet.FlowID
@@ -37,7 +44,7 @@
 	Customer string
 	Class    packet.Class
 	Shard    ShardKey
-	Owner    member.Incarnation
+	Grant    Grant
 	Endpoint netip.AddrPort // pinned endpoint; not valid before the pin is known
 	IssuedAt time.Time      // to the second
 }
@@ -72,8 +79,8 @@
 
 // Snapshot is a flow as handed over to another owner.
 type Snapshot struct {
-	Ticket   Ticket               // as last issued
-	Owners   []member.Incarnation // incarnations whose tickets the receiver must accept as its own
+	Ticket   Ticket  // as last issued
+	Grants   []Grant // grants whose tickets the receiver accepts as its own
 	Caller   packet.CallerAddress
 	Service  netip.AddrPort // service address that the caller uses
 	Floor    uint64         // request numbers up to and including Floor are never run
@@ -82,10 +89,14 @@
 	Sequence uint64 // last feed item that the caller acknowledged
 }
 
-// Handover moves flows of one pool shard to another owner. It is meant for the incarnation To alone.
+// Handover moves flows of one pool shard to another owner. It is meant for the incarnation To alone. Stream and Number
+// let the receiver take each message once: a copy that arrives after the receiver passed the flows on would otherwise
+// bring back old records, and a request could run twice.
 type Handover struct {
-	From  member.Incarnation
-	To    member.Incarnation
-	Shard ShardKey
-	Flows []Snapshot
+	From   member.Incarnation
+	To     member.Incarnation
+	Stream uint64 // names the sending shard within its process
+	Number uint64 // rises with each message of a stream; a repeated message keeps its number
+	Shard  ShardKey
+	Flows  []Snapshot
 }
