Run the whole path as separate processes

Cause: the parts existed, but no balancer process did. Change: io/transport/host assembles a balancer, the balancer subcommand runs it and drains on SIGTERM, check accepts settings, a process gets its first tables before it joins the membership.

--- /dev/null
+++ b/command/balancer.go
@@ -0,0 +1,106 @@
+package command
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+	"github.com/zeromicro/go-zero/core/logx"
+	"github.com/zeromicro/go-zero/core/proc"
+	"github.com/zeromicro/go-zero/core/stat"
+
+	"cornellb/io/protocol/settings"
+	"cornellb/io/transport/host"
+)
+
+// forceQuitMargin is added to the drain limit before go-zero's own signal handler may end the process.
+const forceQuitMargin = time.Minute
+
+func newBalancerCommand() *cobra.Command {
+	var file string
+	c := &cobra.Command{
+		Use:   "balancer --settings FILE",
+		Short: "Run a balancer",
+		Long: `Run a balancer until SIGTERM or SIGINT.
+
+The first signal drains: the fabric is told through /readyz, requests in progress finish, and flows and feeds are handed
+over to other balancers. A second signal ends the process at once.`,
+		Example: "  cornellb balancer --settings balancer.yaml",
+		Args:    inputArgs(cobra.NoArgs),
+		RunE: func(c *cobra.Command, _ []string) error {
+			s, err := loadSettings(file)
+			if err != nil {
+				return err
+			}
+			return runBalancer(s, newLogger(s.Log, c.ErrOrStderr()))
+		},
+	}
+	c.Flags().StringVar(&file, "settings", "", "YAML file with the settings")
+	return c
+}
+
+func loadSettings(file string) (*settings.Settings, error) {
+	if file == "" {
+		return nil, &InputError{Message: "--settings must name a file"}
+	}
+	s, err := settings.Load(file)
+	var faults *settings.FaultsError
+	if errors.As(err, &faults) {
+		return nil, &InputError{Message: err.Error()}
+	}
+	return s, err
+}
+
+func newLogger(l settings.Log, out io.Writer) *slog.Logger {
+	var level slog.Level
+	if err := level.UnmarshalText([]byte(l.Level)); err != nil {
+		level = slog.LevelInfo
+	}
+	options := &slog.HandlerOptions{Level: level}
+	if l.Format == "text" {
+		return slog.New(slog.NewTextHandler(out, options))
+	}
+	return slog.New(slog.NewJSONHandler(out, options))
+}
+
+func runBalancer(s *settings.Settings, log *slog.Logger) error {
+	bridgeLibraryLogs(log)
+	proc.SetTimeToForceQuit(s.DrainLimit + forceQuitMargin)
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	defer signal.Stop(signals)
+	h, err := host.Start(s, log)
+	if err != nil {
+		return err
+	}
+	defer h.Close()
+	<-signals
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() {
+		<-signals
+		cancel()
+	}()
+	return h.Drain(ctx)
+}
+
+// bridgeLibraryLogs passes go-zero's log lines to slog and turns its periodic statistics off.
+func bridgeLibraryLogs(log *slog.Logger) {
+	logx.DisableStat()
+	stat.DisableLog()
+	logx.SetWriter(logx.NewWriter(lineWriter{log}))
+}
+
+// lineWriter logs each line that go-zero writes.
+type lineWriter struct{ log *slog.Logger }
+
+func (w lineWriter) Write(line []byte) (int, error) {
+	w.log.Debug("go-zero", "line", string(line))
+	return len(line), nil
+}
--- a/command/check.go
+++ b/command/check.go
@@ -6,8 +6,10 @@
 	"strings"
 
 	"github.com/spf13/cobra"
+	"gopkg.in/yaml.v3"
 
 	"cornellb/io/protocol/platform"
+	"cornellb/io/protocol/settings"
 )
 
 // fileChecker checks the files that it recognizes and returns an error with all of their faults.
@@ -19,6 +21,7 @@
 
 // fileCheckers are asked in this order. The last one takes every file.
 var fileCheckers = []fileChecker{
+	{name: "settings", matches: isSettings, check: checkSettings},
 	{name: "tables", matches: func([]byte) bool { return true }, check: checkTables},
 }
 
@@ -64,6 +67,21 @@
 	return "", &InputError{Message: "unknown kind of file"}
 }
 
+// isSettings tells settings from tables by a name that only settings have on the top level.
+func isSettings(data []byte) bool {
+	var names map[string]any
+	if err := yaml.Unmarshal(data, &names); err != nil {
+		return false
+	}
+	_, ok := names["ticket_keys"]
+	return ok
+}
+
+func checkSettings(data []byte) error {
+	_, err := settings.Parse("settings", data)
+	return err
+}
+
 func checkTables(data []byte) error {
 	_, err := platform.DecodeTables(data)
 	return err
--- a/command/root.go
+++ b/command/root.go
@@ -23,12 +23,13 @@
 
 // subcommands is the index of the program.
 var subcommands = map[string]func() *cobra.Command{
-	"apply":   newApplyCommand,
-	"check":   newCheckCommand,
-	"get":     newGetCommand,
-	"status":  newStatusCommand,
-	"version": newVersionCommand,
-	"watch":   newWatchCommand,
+	"balancer": newBalancerCommand,
+	"apply":    newApplyCommand,
+	"check":    newCheckCommand,
+	"get":      newGetCommand,
+	"status":   newStatusCommand,
+	"version":  newVersionCommand,
+	"watch":    newWatchCommand,
 }
 
 // InputError reports settings, tables or arguments that the user has to correct.
--- a/core/coordination/balancer/ingress.go
+++ b/core/coordination/balancer/ingress.go
@@ -49,9 +49,10 @@
 	b.routeTicketed(plan, route, f, &t, p)
 }
 
-// refuseUnrouted answers an open without a route. Other packets are dropped: their request may be running.
+// refuseUnrouted answers an open without a route. Other packets are dropped, since their request may be running, and so
+// is everything while this process has no tables.
 func (b *Balancer) refuseUnrouted(f *packet.Forward, p *packet.Packet) {
-	if p.Kind != packet.KindOpen {
+	if p.Kind != packet.KindOpen || b.Version() == 0 {
 		b.drop("no_route")
 		return
 	}
--- a/io/protocol/settings/settings.go
+++ b/io/protocol/settings/settings.go
@@ -62,7 +62,6 @@
 	Weights         Weights       `json:"weights,optional"`                                                // of the classes
 	FlowIdle        time.Duration `json:"flow_idle,default=5m"`                                            // a flow without packets is forgotten after this time
 	SlowStartStep   time.Duration `json:"slow_start_step,default=1s"`                                      // time of good answers that earns a new endpoint its next slot
-	SuspectTimeout  time.Duration `json:"suspect_timeout,default=3s"`                                      // a silent member is dead after this time
 	ControlBytes    int           `json:"control_bytes_per_second,default=4096,range=[1024:1048576]"`      // gossip budget
 	DrainLimit      time.Duration `json:"drain_limit,default=30s"`                                         // requests in progress may take this long after SIGTERM
 	Log             Log           `json:"log,optional"`
@@ -184,8 +183,7 @@
 		}
 	}
 	for field, d := range map[string]time.Duration{
-		"flow_idle": s.FlowIdle, "slow_start_step": s.SlowStartStep, "suspect_timeout": s.SuspectTimeout,
-		"drain_limit": s.DrainLimit,
+		"flow_idle": s.FlowIdle, "slow_start_step": s.SlowStartStep, "drain_limit": s.DrainLimit,
 	} {
 		if d <= 0 {
 			add(field, "must be above 0s")
--- /dev/null
+++ b/io/transport/host/bootstrap.go
@@ -0,0 +1,61 @@
+package host
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"cornellb/core/coordination/configuration"
+	"cornellb/core/state/member"
+	"cornellb/io/protocol/platform"
+	transport "cornellb/io/transport/platform"
+)
+
+// bootstrapInterval is the time between attempts to get the first tables.
+const bootstrapInterval = 200 * time.Millisecond
+
+// bootstrap gets the first tables from a peer or the store before the process joins the membership: a member without
+// tables would win pool shards that it cannot run. It returns when tables are in force, when the store says that there
+// are none yet, or when the process stops.
+func (h *Host) bootstrap() {
+	ctx, cancel := context.WithCancel(h.ctx)
+	defer cancel()
+	reader := &transport.Reader{Store: h.client, Core: everyReader{h.tables}, Clock: transport.SystemClock{}, Log: h.log}
+	h.work.Go(func() { reader.Run(ctx) })
+	for ctx.Err() == nil && h.tables.Version() == 0 {
+		for _, a := range parseAddresses(h.settings.Peers) {
+			h.fetchFirstTables(ctx, a)
+		}
+		if h.tables.Version() == 0 && h.isStoreEmpty(ctx) {
+			return
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(bootstrapInterval):
+		}
+	}
+}
+
+// fetchFirstTables asks a peer whose incarnation is not known yet. Failures are normal: the peer may be starting too.
+func (h *Host) fetchFirstTables(ctx context.Context, a netip.AddrPort) {
+	if h.tables.Version() != 0 || ctx.Err() != nil {
+		return
+	}
+	_ = h.fetchTables(member.Host{Address: a}, nil)
+}
+
+func (h *Host) isStoreEmpty(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
+	defer cancel()
+	_, err := h.client.Get(ctx, platform.KindTables, platform.NameHead)
+	var missing *transport.NotFoundError
+	return errors.As(err, &missing)
+}
+
+// everyReader lets a process read the store before it has a membership view.
+type everyReader struct{ *configuration.State }
+
+// IsReader implements platform.Core.
+func (everyReader) IsReader() bool { return true }
--- /dev/null
+++ b/io/transport/host/events.go
@@ -0,0 +1,231 @@
+package host
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"cornellb/core/coordination/configuration"
+	"cornellb/core/state/flow"
+	"cornellb/core/state/member"
+	"cornellb/core/state/metric"
+	"cornellb/core/state/packet"
+	"cornellb/core/state/table"
+	"cornellb/io/protocol/platform"
+	"cornellb/io/protocol/wire"
+	peerwire "cornellb/io/protocol/wire/peer"
+)
+
+// callTimeout bounds one call of another balancer.
+const callTimeout = 2 * time.Second
+
+// callerSender implements dispatch.CallerSender.
+type callerSender struct{ h *Host }
+
+func (c callerSender) SendCaller(service netip.AddrPort, to packet.CallerAddress, p *packet.Packet) {
+	c.h.caller.SendCaller(service, to, p)
+}
+
+// backendEvents implements backend.Handler.
+type backendEvents struct{ h *Host }
+
+func (e backendEvents) BackendUp(a netip.AddrPort, service string, incarnation uint64, busy int, leaving bool) {
+	e.h.balancer.BackendUp(a, service, incarnation, busy, leaving)
+}
+
+func (e backendEvents) HandleBackend(a netip.AddrPort, m *packet.Backend) {
+	e.h.balancer.HandleBackend(a, m)
+}
+
+func (e backendEvents) BackendDown(a netip.AddrPort, _ error, unsent []*packet.Backend) {
+	e.h.balancer.BackendDown(a, unsent)
+}
+
+// forwardSender implements balancer.PeerSender.
+type forwardSender struct{ h *Host }
+
+var forwardBuffers = sync.Pool{New: func() any { return new([]byte) }}
+
+func (s forwardSender) SendForward(to member.Host, f *packet.Forward) {
+	buffer := forwardBuffers.Get().(*[]byte)
+	*buffer = wire.AppendForward((*buffer)[:0], f)
+	if !s.h.peer.SendForward(to.Address, *buffer) {
+		s.h.metrics.Count(metric.Dropped, "forward_socket", 1)
+	}
+	forwardBuffers.Put(buffer)
+}
+
+// forwardHandler implements peer.ForwardHandler. Decoders are pooled, since it is called by several goroutines.
+type forwardHandler struct {
+	h        *Host
+	decoders sync.Pool
+}
+
+func newForwardHandler(h *Host) *forwardHandler {
+	return &forwardHandler{h: h, decoders: sync.Pool{New: func() any { return wire.NewDecoder() }}}
+}
+
+func (f *forwardHandler) HandleForward(_ netip.AddrPort, payload []byte) {
+	d := f.decoders.Get().(*wire.Decoder)
+	defer f.decoders.Put(d)
+	var forward packet.Forward
+	var p packet.Packet
+	if err := d.DecodeForward(payload, &forward); err != nil {
+		f.h.metrics.Count(metric.Dropped, "bad_forward", 1)
+		return
+	}
+	if err := d.DecodePacket(forward.Packet, &p); err != nil {
+		f.h.metrics.Count(metric.Dropped, "bad_packet", 1)
+		return
+	}
+	f.h.balancer.HandleForward(&forward, &p)
+}
+
+// handoverSender implements dispatch.HandoverSender. It returns at once, since the shard's lock is held.
+type handoverSender struct{ h *Host }
+
+func (s handoverSender) SendHandover(to member.Host, m *flow.Handover) {
+	s.h.work.Go(func() {
+		ctx, cancel := context.WithTimeout(s.h.ctx, callTimeout)
+		defer cancel()
+		_, err := s.h.peer.SendHandover(ctx, to.Address, m)
+		s.h.balancer.HandoverDone(m, err)
+	})
+}
+
+// handoverHandler implements peer.HandoverHandler.
+type handoverHandler struct{ h *Host }
+
+func (x handoverHandler) HandleHandover(_ context.Context, m *flow.Handover) (*flow.HandoverAck, error) {
+	if err := x.h.balancer.HandleHandover(m); err != nil {
+		return nil, err
+	}
+	ack := &flow.HandoverAck{By: x.h.self.Incarnation}
+	for i := range m.Flows {
+		ack.Flows = append(ack.Flows, m.Flows[i].Ticket.Flow)
+	}
+	return ack, nil
+}
+
+// membershipEvents implements peer.Events.
+type membershipEvents struct{ h *Host }
+
+func (e membershipEvents) SetView(v *member.View) {
+	e.h.tables.SetView(v)
+	e.h.balancer.SetView(v)
+}
+
+func (e membershipEvents) OfferTables(from member.Host, version uint64) {
+	e.h.tables.HandlePeerVersion(from.Incarnation, version)
+}
+
+// tableActions implements configuration.Actions.
+type tableActions struct{ h *Host }
+
+func (a tableActions) PutInForce(x *table.Index) {
+	a.h.balancer.SetTables(x)
+	a.h.log.Info("tables in force", "version", x.Tables.Version)
+}
+
+func (a tableActions) FetchTables(from member.Host, have []table.Digest) {
+	a.h.work.Go(func() {
+		if err := a.h.fetchTables(from, have); err != nil {
+			a.h.metrics.Count(metric.Dropped, "tables_fetch", 1)
+			a.h.tables.FetchFailed(from.Incarnation)
+		}
+	})
+}
+
+func (h *Host) fetchTables(from member.Host, have []table.Digest) error {
+	ctx, cancel := context.WithTimeout(h.ctx, callTimeout)
+	defer cancel()
+	request := &peerwire.TablesRequest{HaveVersion: h.tables.Version()}
+	for _, d := range have {
+		request.Have = append(request.Have, string(d))
+	}
+	reply, err := h.peer.FetchTables(ctx, from.Address, request)
+	if err != nil {
+		return err
+	}
+	if len(reply.GetHead()) == 0 {
+		return errors.New("peer has no tables")
+	}
+	head, err := table.DecodeHead(reply.GetHead())
+	if err != nil {
+		return err
+	}
+	var segments []*table.Segment
+	for digest, data := range reply.GetSegments() {
+		segment, err := table.ParseSegment(table.Digest(digest), data)
+		if err != nil {
+			return err
+		}
+		segments = append(segments, segment)
+	}
+	return h.tables.Offer(configuration.Source{Peer: from.Incarnation}, head, segments)
+}
+
+// tablesHandler implements peer.TablesHandler.
+type tablesHandler struct{ h *Host }
+
+func (t tablesHandler) HandleTables(_ context.Context, r *peerwire.TablesRequest) (*peerwire.TablesReply, error) {
+	have := make([]table.Digest, len(r.GetHave()))
+	for i, d := range r.GetHave() {
+		have[i] = table.Digest(d)
+	}
+	head, segments := t.h.tables.Answer(have)
+	if head == nil {
+		return &peerwire.TablesReply{}, nil
+	}
+	encoded, err := head.Encode()
+	if err != nil {
+		return nil, err
+	}
+	reply := &peerwire.TablesReply{Head: encoded, Segments: make(map[string][]byte, len(segments))}
+	for _, s := range segments {
+		reply.Segments[string(s.Digest)] = s.Data
+	}
+	return reply, nil
+}
+
+// readHosts reads the platform's host list: other balancers are hints for the membership, and backend servers on
+// leaving hosts get no new work. The list lags, so it never overrules what the members know of each other.
+func (h *Host) readHosts() {
+	for {
+		select {
+		case <-h.ctx.Done():
+			return
+		case <-time.After(hostListInterval):
+		}
+		if !h.tables.IsReader() && !h.ownsShards() {
+			continue
+		}
+		ctx, cancel := context.WithTimeout(h.ctx, platformTimeout)
+		list, err := h.client.Hosts(ctx)
+		cancel()
+		if err == nil {
+			h.useHosts(list)
+		}
+	}
+}
+
+func (h *Host) ownsShards() bool { return len(h.balancer.Loads()) > 0 }
+
+func (h *Host) useHosts(list platform.HostList) {
+	var balancers, leaving []netip.AddrPort
+	for _, x := range list.Hosts {
+		a, err := netip.ParseAddrPort(x.Address)
+		switch {
+		case err != nil:
+		case x.Role == platform.RoleBalancer && x.Live:
+			balancers = append(balancers, a)
+		case x.Role == platform.RoleBackend && x.Leaving:
+			leaving = append(leaving, a)
+		}
+	}
+	h.runner.SetHints(parseAddresses(h.settings.Peers), balancers)
+	h.balancer.SetLeavingEndpoints(leaving)
+}
--- /dev/null
+++ b/io/transport/host/host.go
@@ -0,0 +1,286 @@
+// Package host assembles one balancer process: it connects the decision core with the sockets towards the fabric, other
+// balancers, backend servers, the platform and operators.
+//
+// # Usage
+//
+//	h, err := host.Start(settings, logger)
+//	...
+//	err = h.Drain(ctx) // hands all flows over; returns early when ctx ends
+//	h.Close()
+//
+// The process is ready for the fabric when it has tables and is not draining.
+package host
+
+import (
+	"context"
+	"encoding/hex"
+	"log/slog"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"cornellb/core/coordination/admission"
+	"cornellb/core/coordination/balancer"
+	"cornellb/core/coordination/configuration"
+	"cornellb/core/coordination/dispatch"
+	"cornellb/core/coordination/membership"
+	"cornellb/core/state/member"
+	"cornellb/core/state/packet"
+	"cornellb/io/protocol/settings"
+	"cornellb/io/protocol/wire"
+	"cornellb/io/transport/backend"
+	"cornellb/io/transport/caller"
+	"cornellb/io/transport/operator"
+	"cornellb/io/transport/peer"
+	"cornellb/io/transport/platform"
+)
+
+const (
+	// tickInterval is the resolution of retransmissions and deadlines.
+	tickInterval = 50 * time.Millisecond
+	// hostListInterval is the time between reads of the platform's host list. A backend server that is leaving must get
+	// no new work after 3 s.
+	hostListInterval = 2 * time.Second
+	// platformTimeout bounds one call of the platform.
+	platformTimeout = 3 * time.Second
+)
+
+// Host is a running balancer process.
+type Host struct {
+	settings *settings.Settings
+	log      *slog.Logger
+	self     member.Host
+	metrics  *operator.Metrics
+
+	balancer *balancer.Balancer
+	tables   *configuration.State
+	client   *platform.Client
+	caller   *caller.Transport
+	backend  *backend.Transport
+	peer     *peer.Transport
+	runner   *peer.Runner
+	operator *operator.Server
+
+	draining  atomic.Bool
+	announced uint64 // table version last given to the gossip; used by the ticking goroutine alone
+	ctx       context.Context
+	cancel    context.CancelFunc
+	work      sync.WaitGroup
+}
+
+// Start starts a balancer process.
+func Start(s *settings.Settings, log *slog.Logger) (*Host, error) {
+	h := &Host{settings: s, log: log, self: selfOf(s)}
+	h.ctx, h.cancel = context.WithCancel(context.Background())
+	if err := h.open(); err != nil {
+		h.Close()
+		return nil, err
+	}
+	h.work.Go(h.join)
+	h.log.Info("balancer started", "id", s.ID, "failure_domain", s.FailureDomain, "incarnation", h.self.Incarnation)
+	return h, nil
+}
+
+func selfOf(s *settings.Settings) member.Host {
+	return member.Host{
+		ID: s.ID, FailureDomain: s.FailureDomain, Address: netip.MustParseAddrPort(s.PeerAddress),
+		Incarnation: member.Incarnation(rand.Uint64() | 1), // 0 stands for no incarnation
+	}
+}
+
+// open creates the core and opens all sockets. Handlers may be called before it returns.
+func (h *Host) open() error {
+	s := h.settings
+	var err error
+	if h.metrics, err = operator.NewMetrics(s.ID, s.FailureDomain); err != nil {
+		return err
+	}
+	codec, err := newTicketCodec(s.TicketKeys)
+	if err != nil {
+		return err
+	}
+	h.tables = configuration.New(platform.SystemClock{}, tableActions{h}, h.log)
+	h.client = platform.NewClient(s.Platform, platformTimeout, platform.SystemClock{})
+	h.backend = backend.New(backend.Settings{}, backend.SystemClock{}, h.log, backendEvents{h})
+	out := balancer.Outputs{
+		Caller: callerSender{h}, Backend: h.backend, Handover: handoverSender{h}, Peer: forwardSender{h},
+		Tickets: codec, Recorder: h.metrics,
+	}
+	h.balancer = balancer.New(h.self, coreConfig(s), backend.SystemClock{}, out)
+	h.runner = peer.NewRunner(backend.SystemClock{}, membershipEvents{h})
+	h.peer, err = peer.Listen(peer.Settings{Listen: h.self.Address}, peer.Handlers{
+		Forward: newForwardHandler(h), Gossip: h.runner, Handover: handoverHandler{h}, Tables: tablesHandler{h},
+		Members: h.runner,
+	})
+	if err != nil {
+		return err
+	}
+	h.caller, err = caller.Listen(caller.Settings{
+		Listen: netip.MustParseAddrPort(s.CallerAddress), Fabric: netip.MustParseAddrPort(s.FabricAddress),
+	}, h.balancer)
+	if err != nil {
+		return err
+	}
+	h.operator, err = operator.Listen(s.OperatorAddress, h.metrics, probe{h})
+	return err
+}
+
+// join gets the first tables, then starts the gossip and the goroutines.
+func (h *Host) join() {
+	h.bootstrap()
+	if h.ctx.Err() != nil {
+		return
+	}
+	h.runner.Start(h.peer, membership.Config{
+		ID: h.self.ID, FailureDomain: h.self.FailureDomain, Address: h.self.Address, Incarnation: h.self.Incarnation,
+		StartedAt: time.Now(), BytesPerSecond: h.settings.ControlBytes,
+	}, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	h.runner.SetHints(parseAddresses(h.settings.Peers), nil)
+	reader := &platform.Reader{Store: h.client, Core: h.tables, Clock: platform.SystemClock{}, Log: h.log}
+	status := &platform.StatusWriter{Store: h.client, Source: h.tables, Clock: platform.SystemClock{}, Log: h.log}
+	h.work.Go(func() { reader.Run(h.ctx) })
+	h.work.Go(func() { status.Run(h.ctx) })
+	h.work.Go(h.tick)
+	h.work.Go(h.readHosts)
+}
+
+func newTicketCodec(keys []settings.TicketKey) (*wire.TicketCodec, error) {
+	var list []wire.Key
+	for _, k := range keys {
+		secret, err := hex.DecodeString(k.Secret)
+		if err != nil {
+			return nil, errors.Wrap(err, "decode ticket key")
+		}
+		list = append(list, wire.Key{ID: k.ID, Secret: secret})
+	}
+	return wire.NewTicketCodec(list)
+}
+
+func coreConfig(s *settings.Settings) balancer.Config {
+	d := dispatch.DefaultConfig()
+	d.Mode = dispatch.Mode(s.RoutingMode)
+	d.Admission = admission.Config{
+		Limit:   s.QueueLimit,
+		Weights: [packet.ClassCount]float64{s.Weights.Urgent, s.Weights.Normal, s.Weights.Bulk},
+	}
+	d.Endpoint.SlowStartStep = s.SlowStartStep
+	d.MaxFlows = s.MaxFlows
+	d.FlowIdle = s.FlowIdle
+	return balancer.Config{
+		ShardEndpoints: s.ShardEndpoints, PreferLocal: s.PreferLocal, Dispatch: d, Seed: rand.Uint64(),
+	}
+}
+
+func parseAddresses(texts []string) []netip.AddrPort {
+	var list []netip.AddrPort
+	for _, t := range texts {
+		if a, err := netip.ParseAddrPort(t); err == nil {
+			list = append(list, a)
+		}
+	}
+	return list
+}
+
+func (h *Host) tick() {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-h.ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		h.balancer.Tick()
+		h.tables.Tick()
+		if v := h.tables.Version(); v != h.announced {
+			h.announced = v
+			h.runner.SetTableVersion(v)
+		}
+	}
+}
+
+// Drain marks the process as leaving and returns when every flow was handed over, or with the error of the context.
+// Flows with requests in progress beyond the drain limit are handed over with these requests settled as unknown.
+func (h *Host) Drain(ctx context.Context) error {
+	if h.draining.Swap(true) {
+		return nil
+	}
+	h.log.Info("draining", "limit", h.settings.DrainLimit.String())
+	h.runner.Leave()
+	limit, cancel := context.WithTimeout(ctx, h.settings.DrainLimit)
+	defer cancel()
+	if !h.awaitDrained(limit) {
+		if ctx.Err() != nil {
+			return errors.Wrap(ctx.Err(), "drain")
+		}
+		h.log.Warn("drain limit reached, requests in progress end as unknown")
+		h.balancer.ForceDrain()
+		last, cancelLast := context.WithTimeout(ctx, forcedDrainTime)
+		defer cancelLast()
+		h.awaitDrained(last)
+	}
+	h.runner.Depart()
+	h.log.Info("drained", "flows_left", h.flows())
+	return nil
+}
+
+// forcedDrainTime is the time for the last handovers after the drain limit.
+const forcedDrainTime = 2 * time.Second
+
+// settleTime lets packets that are still on their way through the fabric reach this process after its flows are gone.
+const settleTime = 500 * time.Millisecond
+
+func (h *Host) awaitDrained(ctx context.Context) bool {
+	var since time.Time
+	for {
+		switch {
+		case !h.balancer.IsDrained():
+			since = time.Time{}
+		case since.IsZero():
+			since = time.Now()
+		case time.Since(since) >= settleTime:
+			return true
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-time.After(tickInterval):
+		}
+	}
+}
+
+func (h *Host) flows() int {
+	n := 0
+	for _, l := range h.balancer.Loads() {
+		n += l.Flows
+	}
+	return n
+}
+
+// Close stops the process without handing anything over.
+func (h *Host) Close() {
+	h.cancel()
+	h.work.Wait()
+	if h.operator != nil {
+		_ = h.operator.Close()
+	}
+	if h.caller != nil {
+		_ = h.caller.Close()
+	}
+	if h.runner != nil {
+		h.runner.Close()
+	}
+	if h.peer != nil {
+		_ = h.peer.Close()
+	}
+	if h.backend != nil {
+		h.backend.Close()
+	}
+	if h.client != nil {
+		h.client.Close()
+	}
+}
