--- a/io/protocol/wire/bench_test.go
+++ b/io/protocol/wire/bench_test.go
@@ -49,7 +49,7 @@
 	if err := w.state.open(w.packet.Ticket, &w.ticket); err != nil {
 		return err
 	}
-	w.forward.Hops = 1
+	w.forward.Hops, w.forward.Spill = 1, 2
 	w.out = AppendForward(w.out[:0], &w.forward)
 	return nil
 }
--- a/io/protocol/wire/fuzz_test.go
+++ b/io/protocol/wire/fuzz_test.go
@@ -84,7 +84,8 @@
 			is.Equal(fw.Envelope, e)
 			var m datagram.Forward
 			is.NoErr(proto.Unmarshal(b, &m))
-			same(t, b, &m, &datagram.Forward{Caller: m.Caller, Service: m.Service, Packet: fw.Packet, Hops: uint32(fw.Hops)})
+			same(t, b, &m, &datagram.Forward{Caller: m.Caller, Service: m.Service, Packet: fw.Packet, Hops: uint32(fw.Hops),
+				Spill: uint32(fw.Spill)})
 		}
 	})
 }
--- a/io/transport/backend/reset_test.go
+++ b/io/transport/backend/reset_test.go
@@ -193,3 +193,38 @@
 	is.True(errors.As(c.send(&packet.Backend{Kind: packet.BackendCancel}), &notConnected))
 	is.Equal(len(r.events), 0)
 }
+
+// BenchmarkExchange measures one request of 200 bytes and its answer over a TCP connection with up to 64 in flight,
+// including the work of the peer in this process.
+func BenchmarkExchange(b *testing.B) {
+	is := is.New(b)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer listener.Close()
+	to := listener.Addr().(*net.TCPAddr).AddrPort()
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		serveUntil(conn, "chamber", time.Now().Add(time.Hour), func(m *packet.Backend) {
+			reply(conn, &packet.Backend{Kind: packet.BackendAnswer, Attempt: m.Attempt, Payload: m.Payload})
+		})
+	}()
+	tr, r := start(b, &net.Dialer{}, Settings{})
+	defer tr.Close()
+	tr.Want(to, "chamber")
+	is.NoErr(r.await().err)
+	m := &packet.Backend{Kind: packet.BackendRun, Service: "chamber", Payload: make([]byte, 200)}
+	sent, answered := 0, 0
+	b.ReportAllocs()
+	for b.Loop() {
+		is.NoErr(tr.Send(to, m))
+		for sent++; sent-answered >= 64; {
+			if e := <-r.events; e.frame != nil && e.frame.Kind == packet.BackendAnswer {
+				answered++
+			}
+		}
+	}
+}
