Measure silence with the monotonic clock

The time of the last frame was kept as wall-clock nanoseconds, so a step of the wall clock by 3 s would have replaced all connections at once. It is now an offset from the start of the connection. Found by reading; no test sets the clock. The tests of real connections share their listener.

--- a/io/transport/backend/connection.go
+++ b/io/transport/backend/connection.go
@@ -54,7 +54,8 @@
 	faults    chan error    // first fault of reader and writer each
 	wake      chan struct{} // tells the writer that a frame waits
 	ended     chan struct{} // closed at the end
-	received  atomic.Int64  // clock time of the last frame, in nanoseconds since 1970
+	began     time.Time     // when the connection was made
+	received  atomic.Int64  // time of the last frame, in nanoseconds since began
 	handling  atomic.Bool   // the reader is in a handler call
 
 	mu      sync.Mutex
@@ -70,7 +71,7 @@
 
 func newConnection(t *Transport, endpoint netip.AddrPort, service string, conn net.Conn) *connection {
 	return &connection{
-		transport: t, endpoint: endpoint, service: service, conn: conn,
+		transport: t, endpoint: endpoint, service: service, conn: conn, began: t.clock.Now(),
 		faults: make(chan error, 2), wake: make(chan struct{}, 1), ended: make(chan struct{}),
 	}
 }
@@ -78,7 +79,6 @@
 // run handles the connection until its first fault or the end of ctx and returns the reason. No handler call for the
 // connection is running or will follow.
 func (c *connection) run(ctx context.Context) error {
-	c.received.Store(c.transport.clock.Now().UnixNano())
 	c.hello()
 	var workers sync.WaitGroup
 	var rest []*packet.Backend // of the batch whose write failed
@@ -121,7 +121,7 @@
 			return &ForgottenError{Endpoint: c.endpoint}
 		case <-clock.After(checkInterval):
 		}
-		if silence := w.check(clock.Now(), time.Unix(0, c.received.Load())); silence >= silenceLimit && !c.handling.Load() {
+		if silence := w.check(clock.Now(), c.lastFrame()); silence >= silenceLimit && !c.handling.Load() {
 			return &SilenceError{Endpoint: c.endpoint, Silence: silence}
 		}
 		if w.isPingDue() {
@@ -130,6 +130,10 @@
 	}
 }
 
+// lastFrame returns the time of the last frame. It is derived from a time with a monotonic reading, so that setting the
+// wall clock does not look like silence.
+func (c *connection) lastFrame() time.Time { return c.began.Add(time.Duration(c.received.Load())) }
+
 // silenceWatch measures silence from regular checks.
 type silenceWatch struct {
 	last    time.Time // last check
@@ -259,7 +263,7 @@
 		c.transport.counters.framesReceived.Add(1)
 		c.handling.Store(true)
 		err := c.handle(&m)
-		c.received.Store(c.transport.clock.Now().UnixNano())
+		c.received.Store(int64(c.transport.clock.Now().Sub(c.began)))
 		c.handling.Store(false)
 		if err != nil {
 			return err
--- a/io/transport/backend/reset_test.go
+++ b/io/transport/backend/reset_test.go
@@ -69,6 +69,27 @@
 	}
 }
 
+func listenTCP(t testing.TB) (net.Listener, netip.AddrPort) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	t.Cleanup(func() { _ = listener.Close() })
+	return listener, listener.Addr().(*net.TCPAddr).AddrPort()
+}
+
+// acceptAll serves connections until the listener is closed and passes frames that need an answer to see.
+func acceptAll(listener net.Listener, see func(conn net.Conn, m *packet.Backend)) {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			defer conn.Close()
+			serveUntil(conn, "chamber", time.Now().Add(time.Hour), func(m *packet.Backend) { see(conn, m) })
+		}()
+	}
+}
+
 // resetAfter accepts one connection, reads about limit bytes of it and resets it.
 func resetAfter(l net.Listener, limit int64) {
 	conn, err := l.Accept()
@@ -86,10 +107,7 @@
 func TestUnsentIsExact(t *testing.T) {
 	is := is.New(t)
 	random := rand.New(rand.NewPCG(1, 2))
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	is.NoErr(err)
-	defer listener.Close()
-	to := listener.Addr().(*net.TCPAddr).AddrPort()
+	listener, to := listenTCP(t)
 	withUnsent := 0
 	for range 60 {
 		limit := random.Int64N(1 << 20)
@@ -138,22 +156,8 @@
 // goroutines that outlive Close.
 func TestChangingWishes(t *testing.T) {
 	is := is.New(t)
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	is.NoErr(err)
-	defer listener.Close()
-	to := listener.Addr().(*net.TCPAddr).AddrPort()
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				serveUntil(conn, "chamber", time.Now().Add(time.Hour), ignore)
-			}()
-		}
-	}()
+	listener, to := listenTCP(t)
+	go acceptAll(listener, func(net.Conn, *packet.Backend) {})
 	tr, r := start(t, &net.Dialer{}, Settings{})
 	random := rand.New(rand.NewPCG(3, 4))
 	for range 300 {
@@ -198,20 +202,10 @@
 // including the work of the peer in this process.
 func BenchmarkExchange(b *testing.B) {
 	is := is.New(b)
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	is.NoErr(err)
-	defer listener.Close()
-	to := listener.Addr().(*net.TCPAddr).AddrPort()
-	go func() {
-		conn, err := listener.Accept()
-		if err != nil {
-			return
-		}
-		defer conn.Close()
-		serveUntil(conn, "chamber", time.Now().Add(time.Hour), func(m *packet.Backend) {
-			reply(conn, &packet.Backend{Kind: packet.BackendAnswer, Attempt: m.Attempt, Payload: m.Payload})
-		})
-	}()
+	listener, to := listenTCP(b)
+	go acceptAll(listener, func(conn net.Conn, m *packet.Backend) {
+		reply(conn, &packet.Backend{Kind: packet.BackendAnswer, Attempt: m.Attempt, Payload: m.Payload})
+	})
 	tr, r := start(b, &net.Dialer{}, Settings{})
 	defer tr.Close()
 	tr.Want(to, "chamber")
