Ask for the first missing segment of an answer

Cause: owners send at most 64 segments at a time and expect the caller to name the first one that it lacks; the client named none and would never have received an answer of more than 64 segments. Change: Request.Segment is the first missing segment of the answer sent last, asked for after 20 ms without a new one; the fake service sends bursts of 64. packet.Packet documents the field.

--- a/core/state/packet/packet.go
+++ b/core/state/packet/packet.go
@@ -132,7 +132,7 @@
 	Timeout    time.Duration // Open, Request: time left until the caller's deadline
 	Reason     Reason        // NotRun, Unknown
 	RetryAfter time.Duration // NotRun: time after which another try may succeed
-	Segment    uint32        // Answer: index from 0; Request: 0
+	Segment    uint32        // Answer: index from 0; Request: first segment that the caller lacks
 	Segments   uint32        // Answer: number of segments of the whole answer
 	Size       uint32        // Answer: size of the whole answer in bytes
 	Digest     uint64        // Answer: xxhash64 of the whole answer
--- a/io/transport/client/answer.go
+++ b/io/transport/client/answer.go
@@ -39,6 +39,7 @@
 type assembler struct {
 	assemblies map[answerKey]*assembly
 	order      []answerKey // oldest first
+	latest     answerKey   // of the last valid segment
 }
 
 // add takes a segment, and returns the whole answer with segmentWhole.
@@ -48,6 +49,7 @@
 		return nil, segmentInvalid
 	}
 	key := answerKey{segments: p.Segments, size: p.Size, digest: p.Digest}
+	a.latest = key
 	s := a.assembly(key)
 	if s.parts[p.Segment] != nil {
 		return nil, segmentOld
@@ -66,6 +68,21 @@
 	return answer, segmentWhole
 }
 
+// firstMissing returns the first segment to ask for. It follows the answer that the owner sent last: the segments of
+// an earlier one may be gone with the owner that had them.
+func (a *assembler) firstMissing() uint32 {
+	s := a.assemblies[a.latest]
+	if s == nil {
+		return 0
+	}
+	for i, part := range s.parts {
+		if part == nil {
+			return uint32(i)
+		}
+	}
+	return 0
+}
+
 func (a *assembler) assembly(key answerKey) *assembly {
 	if s := a.assemblies[key]; s != nil {
 		return s
--- a/io/transport/client/client.go
+++ b/io/transport/client/client.go
@@ -38,8 +38,11 @@
 	defaultTimeout = 5 * time.Second
 	firstBackoff   = 100 * time.Millisecond
 	maxBackoff     = 2 * time.Second
-	tickPeriod     = 25 * time.Millisecond
-	pingPeriod     = time.Second
+	// segmentWait is the time without a new segment after which the missing ones are asked for. Owners send at most 64
+	// segments at a time, so it bounds the rate of large answers.
+	segmentWait = 20 * time.Millisecond
+	tickPeriod  = 25 * time.Millisecond
+	pingPeriod  = time.Second
 	// readPause keeps a socket that reports errors, such as a refused port on loopback, from busy looping.
 	readPause = 10 * time.Millisecond
 	// receiveBufferBytes holds a few whole answers of the largest size.
@@ -237,7 +240,7 @@
 }
 
 // retransmit calls send with backoff until settled is closed. It returns nil then, a *DeadlineError, a *ClosedError, or
-// the error of the context. A receive from progress restarts the backoff.
+// the error of the context. A receive from progress restarts the backoff at segmentWait.
 func (c *Client) retransmit(ctx context.Context, deadline time.Time, settled, closed <-chan struct{},
 	progress <-chan struct{}, send func(left time.Duration),
 ) error {
@@ -269,7 +272,7 @@
 				return ctx.Err()
 			case <-progress:
 				stop()
-				backoff = firstBackoff
+				backoff = segmentWait
 			case <-expired:
 				again = false
 			}
--- a/io/transport/client/client_test.go
+++ b/io/transport/client/client_test.go
@@ -11,6 +11,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/matryer/is"
 	"go.uber.org/goleak"
 	"pgregory.net/rapid"
@@ -376,3 +377,35 @@
 		is.Equal(reasonIn(err), packet.ReasonBadTicket)
 	})
 }
+
+// TestAnswersOfTwoRuns guards against an answer mixed from two runs of an idempotent request, and against asking for
+// ever for segments of a run whose owner is gone.
+func TestAnswersOfTwoRuns(t *testing.T) {
+	is := is.New(t)
+	segment := func(answer string, i uint32) *packet.Packet {
+		size := uint32(len(answer))
+		return &packet.Packet{
+			Segment: i, Segments: size, Size: size, Digest: xxhash.Sum64String(answer), Payload: []byte{answer[i]},
+		}
+	}
+	var a assembler
+	for i := range uint32(3) {
+		_, state := a.add(segment("first", i))
+		is.Equal(state, segmentNew)
+	}
+	is.Equal(a.firstMissing(), uint32(3))
+	for _, i := range []uint32{3, 4} {
+		_, state := a.add(segment("other", i))
+		is.Equal(state, segmentNew)
+	}
+	is.Equal(a.firstMissing(), uint32(0))
+	for i := range uint32(2) {
+		_, state := a.add(segment("other", i))
+		is.Equal(state, segmentNew)
+	}
+	answer, state := a.add(segment("other", 2))
+	is.Equal(state, segmentWhole)
+	is.Equal(string(answer), "other")
+	_, state = a.add(&packet.Packet{Segment: 1, Segments: 1, Size: 1, Payload: []byte{1}})
+	is.Equal(state, segmentInvalid)
+}
--- a/io/transport/client/fake_test.go
+++ b/io/transport/client/fake_test.go
@@ -254,7 +254,7 @@
 			s.lock.Lock()
 			defer s.lock.Unlock()
 			s.settle(r)
-			s.report(f, r)
+			s.report(f, r, 0)
 		})
 		return
 	}
@@ -262,7 +262,7 @@
 		r.first.Idempotent != p.Idempotent {
 		s.fault("retransmission of request %d differs", p.Request)
 	}
-	s.report(f, r)
+	s.report(f, r, int(p.Segment))
 }
 
 // settle runs the request once, as its payload says.
@@ -295,8 +295,11 @@
 	return []byte(strings.Repeat(id+"-", size/len(id)+1)[:size])
 }
 
-// report sends the outcome of a request if it is known.
-func (s *service) report(f *served, r *servedRequest) {
+// burst is the number of answer segments that are sent at a time.
+const burst = 64
+
+// report sends the outcome of a request if it is known, and of an answer the segments from first on.
+func (s *service) report(f *served, r *servedRequest, first int) {
 	switch {
 	case r.outcome == nil:
 	case r.outcome.Kind != packet.KindAnswer:
@@ -304,7 +307,7 @@
 		s.reply(f, &p)
 	default:
 		count := max(1, (len(r.answer)+packet.MaxPayloadBytes-1)/packet.MaxPayloadBytes)
-		for i := range count {
+		for i := first; i < min(count, first+burst); i++ {
 			p := *r.outcome
 			p.Segment, p.Segments, p.Size = uint32(i), uint32(count), uint32(len(r.answer))
 			from := i * packet.MaxPayloadBytes
--- a/io/transport/client/request.go
+++ b/io/transport/client/request.go
@@ -54,9 +54,12 @@
 	isSent := false
 	err = f.client.retransmit(ctx, deadline, q.settled, f.done, q.progress, func(left time.Duration) {
 		isSent = true
+		f.lock.Lock()
+		first := q.answers.firstMissing()
+		f.lock.Unlock()
 		f.client.send(&packet.Packet{
 			Kind: packet.KindRequest, Flow: f.id, Ticket: q.ticket, Request: q.number, Idempotent: r.Idempotent,
-			Timeout: left, Payload: r.Payload,
+			Timeout: left, Segment: first, Payload: r.Payload,
 		})
 	})
 	return f.end(q, isSent, err)
