--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -1,5 +1,5 @@
-// Command standin runs the stand-ins for the systems around cornellb: the fabric, backend servers and callers. Its
-// subcommand verdict judges a run.
+// Command standin runs the stand-ins for the systems around cornellb: the platform, the fabric, backend servers and
+// callers. Its subcommand verdict judges a run.
 //
 // # Usage
 //
@@ -20,11 +20,12 @@
 
 // subcommands is the index of the program.
 var subcommands = map[string]func() *cobra.Command{
-	"backend": newBackendCommand,
-	"caller":  newCallerCommand,
-	"fabric":  newFabricCommand,
-	"verdict": newVerdictCommand,
-	"wait":    newWaitCommand,
+	"backend":  newBackendCommand,
+	"caller":   newCallerCommand,
+	"fabric":   newFabricCommand,
+	"platform": newPlatformCommand,
+	"verdict":  newVerdictCommand,
+	"wait":     newWaitCommand,
 }
 
 func main() {
