Read the backend servers' reports after the last request has expired

Cause: a request that was wrongly reported as not run could run after the reports were read, and the check miss it. Change: the demo waits for the request timeout between the end of the load and the verdict.

--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -10,6 +10,7 @@
 BASE_PORT="${BASE_PORT:-21000}"
 SECONDS_OF_LOAD="${SECONDS_OF_LOAD:-10}"
 READY_LIMIT=30s
+REQUEST_TIMEOUT=5 # seconds
 STOP_LIMIT=10 # seconds until processes that do not stop on SIGTERM are killed
 
 BALANCERS=8
@@ -167,7 +168,7 @@
 done
 bin/standin wait --limit "$READY_LIMIT" "${balancer_urls[@]}" "http://$FABRIC_CONTROL/readyz"
 
-start caller bin/standin caller --duration "${SECONDS_OF_LOAD}s" --seed 1 --result "$DIRECTORY/result.json" \
+start caller bin/standin caller --duration "${SECONDS_OF_LOAD}s" --timeout "${REQUEST_TIMEOUT}s" --seed 1 --result "$DIRECTORY/result.json" \
   --target "reminders=$REMINDERS_CALLERS" --rate "reminders=$REMINDERS_RATE" --feeds reminders=12 \
   --target "rendering=$RENDERING_CALLERS" --rate "rendering=$RENDERING_RATE" --feeds rendering=2
 caller_pid=$last_pid
@@ -181,5 +182,6 @@
   echo "demo: killed balancer-$KILL_BALANCER"
 fi
 wait "$caller_pid"
-
+# A request that was reported as not run could still run until its timeout has passed, so the reports are read after it.
+sleep "$REQUEST_TIMEOUT"
 bin/standin verdict --result "$DIRECTORY/result.json" "${checks[@]}" "${backend_urls[@]/#/--backend=}"
