--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -168,7 +168,8 @@
 done
 bin/standin wait --limit "$READY_LIMIT" "${balancer_urls[@]}" "http://$FABRIC_CONTROL/readyz"
 
-start caller bin/standin caller --duration "${SECONDS_OF_LOAD}s" --timeout "${REQUEST_TIMEOUT}s" --seed 1 --result "$DIRECTORY/result.json" \
+start caller bin/standin caller --duration "${SECONDS_OF_LOAD}s" --timeout "${REQUEST_TIMEOUT}s" --seed 1 \
+  --result "$DIRECTORY/result.json" \
   --target "reminders=$REMINDERS_CALLERS" --rate "reminders=$REMINDERS_RATE" --feeds reminders=12 \
   --target "rendering=$RENDERING_CALLERS" --rate "rendering=$RENDERING_RATE" --feeds rendering=2
 caller_pid=$last_pid
