Never report not run for a request that a former owner may have run

Cause: make demo KILL=1 reported one request as not run that had been executed. It was idempotent, had run at the killed owner, was adopted by the new owner under its old ticket and refused there at its deadline. Ruled out: the queue (the record was never sent at the new owner) and the verdict (the execution is in the backend server's report). Change: a record remembers that an earlier attempt, here or at a former owner, may have started; such a request ends as answered or unknown, never as not run.

--- a/core/coordination/dispatch/attempts.go
+++ b/core/coordination/dispatch/attempts.go
@@ -65,7 +65,7 @@
 		s.retryLater(now, f, r, pe, packet.ReasonNoEndpoint)
 		return
 	}
-	if r.State == flow.StateSent && !r.Idempotent {
+	if (r.State == flow.StateSent || r.MayHaveRun) && !r.Idempotent {
 		s.violation("second_send")
 		return
 	}
@@ -203,9 +203,7 @@
 	if f == nil {
 		return
 	}
-	if a.pending.attempts == 1 {
-		r.State = flow.StateQueued // no attempt has started so far
-	}
+	r.State = flow.StateQueued
 	if a.cancelled {
 		s.giveUp(now, f, r, packet.ReasonCancelled, 0)
 		return
@@ -223,7 +221,7 @@
 	if f == nil {
 		return
 	}
-	if !m.Started && a.pending.attempts == 1 {
+	if !m.Started {
 		r.State = flow.StateQueued
 	}
 	s.giveUp(now, f, r, packet.ReasonCancelled, 0)
@@ -256,16 +254,15 @@
 		if f == nil {
 			continue
 		}
-		if notStarted[number] && a.pending.attempts == 1 {
-			r.State = flow.StateQueued
-		}
+		r.MayHaveRun = r.MayHaveRun || !notStarted[number]
+		r.State = flow.StateQueued
 		switch {
 		case a.cancelled:
 			s.giveUp(now, f, r, packet.ReasonCancelled, 0)
-		case r.Idempotent || r.State == flow.StateQueued:
+		case r.Idempotent || !r.MayHaveRun:
 			s.retryLater(now, f, r, a.pending, packet.ReasonConnectionLost)
 		default:
-			s.settleUnknown(now, f, r, packet.ReasonConnectionLost)
+			s.giveUp(now, f, r, packet.ReasonConnectionLost, 0)
 		}
 	}
 }
--- a/core/coordination/dispatch/requests.go
+++ b/core/coordination/dispatch/requests.go
@@ -45,9 +45,10 @@
 		return
 	}
 	r.Idempotent = p.Idempotent
+	r.MayHaveRun = !f.accepts(t.Grant)
 	r.State = flow.StateQueued
 	if p.Timeout <= 0 {
-		s.refuse(now, f, r, packet.ReasonDeadline, 0)
+		s.giveUp(now, f, r, packet.ReasonDeadline, 0)
 		return
 	}
 	s.enqueue(now, f, r, p)
@@ -96,7 +97,7 @@
 
 // giveUp settles a request that will not be tried again: as not run if no attempt can have started, else as unknown.
 func (s *Shard) giveUp(now time.Time, f *flowState, r *flow.Record, reason packet.Reason, retryAfter time.Duration) {
-	if r.State == flow.StateQueued {
+	if r.State == flow.StateQueued && !r.MayHaveRun {
 		s.refuse(now, f, r, reason, retryAfter)
 		return
 	}
@@ -105,7 +106,7 @@
 
 // refuse settles a request as not run. The record is written first, so that a late copy is refused as well.
 func (s *Shard) refuse(now time.Time, f *flowState, r *flow.Record, reason packet.Reason, retryAfter time.Duration) {
-	if r.State == flow.StateSent {
+	if r.State == flow.StateSent || r.MayHaveRun {
 		s.violation("refused_after_send")
 		return
 	}
