--- a/core/coordination/admission/queue.go
+++ b/core/coordination/admission/queue.go
@@ -7,8 +7,10 @@
 // get equal shares. A class that does not use its share leaves it to the most urgent class that has work. The virtual
 // time of the classes advances with each unit of served cost divided by the sum of all weights, whether or not a class
 // has work; a class whose start time is not ahead of it is owed service, and such classes are served in the order of
-// their start times. A class that could not use its share is owed up to maxClassCredit of it afterwards. If no class that can run is owed service, the service is unused share: it goes to the most urgent
-// class that can run and is not charged. Customers inside a class are scheduled by plain start-time fair queueing.
+// their start times, the most urgent first on ties. A class that could not use its share is owed the share of the last
+// maxCredit services afterwards. If no class that can run is owed service, the service is unused share: it goes to the
+// most urgent class that can run and is not charged. Customers inside a class are scheduled by plain start-time fair
+// queueing.
 //
 // A pinned item runs only on its endpoint. Items are kept by class, endpoint and customer, so an item whose endpoint is
 // busy blocks nothing behind it, and Pop costs one check per class and endpoint that has pinned items, plus logarithms
@@ -36,10 +38,11 @@
 // ahead of others. It equals the default queue limit.
 const maxIdleCustomers = 1024
 
-// maxClassCredit is the largest cost of service that a class is owed after a time in which it had no work or all its
-// items waited for busy endpoints. With none, a burst of a class that stays below its share waits behind a flood; with
-// much, the burst delays the other classes. docs/notes/admission.md has the measurements.
-const maxClassCredit = 8
+// maxCredit is the cost of the last services of which a class is still owed its share after a time in which it had no
+// work or all its items waited for busy endpoints. With none, a burst of a class that stays below its share waits behind
+// a flood; with much, the burst delays the other classes. All classes have the same span, so that a short contention
+// favours the more urgent ones. docs/notes/admission.md has the measurements.
+const maxCredit = 60
 
 // rebaseAt is the virtual time at which the tags of the classes are moved back to zero, long before float64 loses the
 // fractions.
@@ -97,7 +100,7 @@
 	limit         int
 	customerLimit int
 	weight        float64 // sum over the classes
-	credit        float64 // maxClassCredit
+	credit        float64 // virtual time that a class may be behind: maxCredit divided by weight
 	virtual       float64 // virtual time of the classes
 	sequence      uint64
 	count         int
@@ -117,7 +120,6 @@
 	}
 	q := &Queue{
 		limit:         c.Limit,
-		credit:        maxClassCredit,
 		customerLimit: c.CustomerLimit,
 		byFlow:        make(map[packet.FlowID]*Item),
 		deadlines: indexedHeap[*Item]{
@@ -132,6 +134,7 @@
 		q.classes[i] = newClass(w)
 		q.weight += w
 	}
+	q.credit = maxCredit / q.weight
 	return q
 }
 
@@ -197,7 +200,7 @@
 	q.virtual += cost / q.weight
 	for i, c := range q.classes {
 		if candidates[i] == nil && c.count > 0 {
-			c.start = max(c.start, q.virtual-q.credit/c.weight)
+			c.start = max(c.start, q.virtual-q.credit)
 		}
 	}
 	if q.virtual < rebaseAt {
@@ -254,7 +257,7 @@
 func (q *Queue) insert(it *Item) {
 	c := q.classes[it.Class]
 	if c.count == 0 {
-		c.start = max(c.start, q.virtual-q.credit/c.weight)
+		c.start = max(c.start, q.virtual-q.credit)
 	}
 	if !it.returned {
 		q.sequence++
--- a/core/coordination/admission/queue_test.go
+++ b/core/coordination/admission/queue_test.go
@@ -24,7 +24,7 @@
 
 // Guards against a flood that takes more than the unused share, against unused share that goes to a less urgent class,
 // and against customers of equal demand that are served unequally: demand is given per service, and the shares must be
-// exact but for the credit of each class.
+// exact within 8 of 10,000 services.
 func TestFloodLeavesExactShares(t *testing.T) {
 	tests := map[string]struct{ demand, want [packet.ClassCount]float64 }{
 		"bulk floods tenfold, all at share":   {[3]float64{0.6, 0.3, 1}, [3]float64{0.6, 0.3, 0.1}},
@@ -57,7 +57,7 @@
 				}
 			}
 			for c, want := range tt.want {
-				if math.Abs(served[c]-want*services) > maxClassCredit+2 {
+				if math.Abs(served[c]-want*services) > 8 {
 					t.Errorf("class %d was served %v times, want %v", c, served[c], want*services)
 				}
 				if of := byCustomer[c]; max(of[0], of[1], of[2])-min(of[0], of[1], of[2]) > 1 {
@@ -114,7 +114,7 @@
 			bulk++
 		}
 	}
-	is.True(bulk >= 10-maxClassCredit/6)
+	is.True(bulk >= 9)
 	is.Equal(q.Unpin(pinned(2)), q.LenOf(packet.ClassUrgent))
 	waiting := q.LenOf(packet.ClassUrgent)
 	it, _ := q.Pop(epoch, blocked, true)
--- a/core/coordination/admission/random_test.go
+++ b/core/coordination/admission/random_test.go
@@ -184,7 +184,7 @@
 			}
 			for c, w := range DefaultWeights {
 				got, due := served[c][customers]-servedAt[c], (total-totalAt[c])*w/10
-				if q.LenOf(packet.Class(c)) > 0 && got < due-2*maxClassCredit-3*maxCost {
+				if q.LenOf(packet.Class(c)) > 0 && got < due-12-3*maxCost {
 					t.Fatalf("class %d got %v of %v due", c, got, due)
 				}
 			}
--- a/core/coordination/admission/shard_test.go
+++ b/core/coordination/admission/shard_test.go
@@ -65,6 +65,7 @@
 				s := newSimulation(New(Config{}), 3)
 				set(s)
 				f := flood(s, class)
+				t.Logf("goodput kept %.3f, 99th percentile over the usual one %.2f", f.retained, f.slowdown)
 				for c := range packet.ClassCount {
 					is.True(f.retained[c] >= minRetained)
 					// The target for latency is about the other classes. Customers of the flooding class meet it too
@@ -123,6 +124,7 @@
 			// Half the slots bear 50/70 of the usual demand.
 			good, _ := s.goodput(packet.ClassUrgent, 0)
 			is.True(good >= 0.95*50/70)
+			t.Logf("goodput of urgent %.3f, %d retries of %d fresh attempts", good, s.retries, s.fresh)
 			s.serve = exponential
 			s.run(10 * time.Second) // the longest ejection so far
 			s.run(5 * time.Second)
@@ -143,6 +145,7 @@
 	s.run(5 * time.Second)
 	s.run(20 * time.Second)
 	is.True(s.imbalance() <= maxImbalance)
+	t.Logf("imbalance %.3f", s.imbalance())
 	for c := range packet.ClassCount {
 		good, _ := s.goodput(c, 0)
 		is.True(good >= minRetained)
