--- a/core/coordination/endpoint/set_test.go
+++ b/core/coordination/endpoint/set_test.go
@@ -261,3 +261,23 @@
 		})
 	}
 }
+
+// Guards against feeds beyond the connections of an endpoint, and against a flow that is lost in a handover because its
+// endpoint is full or leaving.
+func TestFeedsAndAdoptedFlows(t *testing.T) {
+	is := is.New(t)
+	s := newUpSet(2, 1, 2)
+	is.True(s.Acquire(epoch, address(0)))
+	for range 4 { // feeds need no slot
+		a, ok := s.ChooseFeed(epoch, netip.AddrPort{})
+		is.True(ok && s.Pin(a))
+	}
+	_, ok := s.ChooseFeed(epoch, netip.AddrPort{})
+	is.True(!ok && !s.AnyFree() && s.CanAcquire(address(1))) // a pinned flow may use the free slot
+	is.True(!s.Pin(address(0)))
+	s.MarkLeaving(epoch, address(0), LeavingTable, true)
+	is.True(s.Adopt(address(0)))
+	st, _ := s.StatusOf(address(0))
+	is.Equal(st.Pins, 3)
+	is.Equal(s.Addresses(), []netip.AddrPort{address(0), address(1)})
+}
