Test broken paths and agreement, and keep lists from bringing members back

Random runs showed that a list from a process after a pause may hold a refutation that others have not seen, of a member that has ended since; a list is now no news on a member that is gone, which is pinged instead.

--- a/core/coordination/membership/bench_test.go
+++ b/core/coordination/membership/bench_test.go
@@ -35,7 +35,7 @@
 	for i := 1; i < count; i++ {
 		m.merge(benchHost(i), sourceJoin)
 	}
-	m.fetch.done = true
+	m.fetch = fetch{done: true}
 	return m, now
 }
 
@@ -131,6 +131,32 @@
 	return total
 }
 
+// BenchmarkStart measures on the fake clock how long a group that starts all at once takes until every view is right,
+// and how long after a partition of 300 s, in which a third of it was cut off.
+func BenchmarkStart(b *testing.B) {
+	for _, count := range []int{8, 100, 300} {
+		b.Run(fmt.Sprint(count), func(b *testing.B) {
+			s := newSim(3, b.Fatalf)
+			for i := range count {
+				s.start(i)
+			}
+			started, isStarted := s.converge(10 * time.Minute)
+			for i := range count {
+				s.side[i] = i % 3 / 2
+			}
+			s.run(300 * time.Second)
+			s.side = map[int]int{}
+			healed, isHealed := s.converge(10 * time.Minute)
+			if !isStarted || !isHealed {
+				b.Fatal(s.disagreement())
+			}
+			b.ReportMetric(started.Seconds(), "start_s")
+			b.ReportMetric(healed.Seconds(), "heal_s")
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+}
+
 // BenchmarkGroup measures a whole group on the fake clock: bytes sent per member and second while nothing changes and
 // with one restart every 9 s, and how long a table version and a death take to reach every member. It runs once,
 // independent of b.N, since its figures are those of the fake clock.
@@ -139,7 +165,7 @@
 		b.Run(fmt.Sprint(count), func(b *testing.B) {
 			s := simGroup(b, count)
 			perMember := func(d time.Duration) float64 { return float64(s.bytes()) / float64(count) / d.Seconds() }
-			s.bytes()
+			s.bytes() // from here on
 			s.run(30 * time.Second)
 			b.ReportMetric(perMember(30*time.Second), "quiet_bytes/member/s")
 			for i := range 4 {
--- a/core/coordination/membership/gossip.go
+++ b/core/coordination/membership/gossip.go
@@ -165,9 +165,8 @@
 // spread sends an Announce to random members and returns how many were sent.
 func (m *Machine) spread(fanout int, p priority) int {
 	sent := 0
-	for range fanout {
-		r := m.randomMember()
-		if r == nil || !m.send(r.host.Address, &Message{Kind: KindAnnounce}, r, p) {
+	for _, r := range m.randomMembers(fanout, nil) {
+		if !m.send(r.host.Address, &Message{Kind: KindAnnounce}, r, p) {
 			break
 		}
 		sent++
@@ -175,6 +174,19 @@
 	return sent
 }
 
+// randomMembers picks up to n different reachable members other than one.
+func (m *Machine) randomMembers(n int, except *record) []*record {
+	picked := make([]*record, 0, n)
+	// In a small group many tries hit the same members; in a large one the first n tries suffice.
+	for tries := 4 * n; len(picked) < n && tries > 0; tries-- {
+		r := m.randomMember()
+		if r != nil && r != except && !slices.Contains(picked, r) {
+			picked = append(picked, r)
+		}
+	}
+	return picked
+}
+
 // randomMember picks a reachable member, in half of the cases from the own failure domain, because links between
 // failure domains are expensive.
 func (m *Machine) randomMember() *record {
--- a/core/coordination/membership/membership.go
+++ b/core/coordination/membership/membership.go
@@ -42,9 +42,9 @@
 	DeadMemory     = 60 * time.Second // dead and left members stay in the view for this time
 	GossipInterval = 200 * time.Millisecond
 	healInterval   = 5 * time.Second // between pings to addresses that are not in the list of reachable members
+	settleTime     = time.Second     // after a pause, for messages that waited in buffers
 	maxStep        = 250 * time.Millisecond
 	pauseLimit     = 2 * time.Second // a longer time between two ticks is a pause of this process
-	settleTime     = time.Second     // after a pause, for messages that waited in buffers
 )
 
 // Bounds of the state, and fan-outs.
@@ -130,7 +130,7 @@
 	fetch     fetch
 	agreement agreement
 
-	nextProbe, nextGossip, nextHeal, nextSuggested, nextView, settled, youngUntil time.Time
+	nextProbe, nextGossip, nextHeal, nextSuggested, nextView, youngUntil, settled time.Time
 
 	tableVersion  uint64
 	announceTable bool
@@ -215,10 +215,8 @@
 		return
 	}
 	m.setSelf(member.StateLeft)
-	for range versionFanout {
-		if r := m.randomMember(); r != nil {
-			m.send(r.host.Address, &Message{Kind: KindAnnounce}, r, priorityProbe)
-		}
+	for _, r := range m.randomMembers(versionFanout, nil) {
+		m.send(r.host.Address, &Message{Kind: KindAnnounce}, r, priorityProbe)
 	}
 	m.departed = true
 	m.publish()
@@ -259,18 +257,16 @@
 	if gap < pauseLimit {
 		return
 	}
-	// Opinions in the queue, and in messages that waited for this process, may be older than the memory of the others
-	// for dead members. They are not passed on, because the others would take them for news.
+	// Opinions in the queue, and in messages that waited for this process, may be old. They are not passed on, because
+	// the others would take them for news.
 	m.stats.Pauses++
 	m.settled = m.now.Add(settleTime)
 	m.queue = m.queue[:0]
 	for _, r := range m.records {
-		r.queued, r.isHeard = nil, false
+		r.queued = nil
 	}
-	m.heard, m.heardNext = m.heard[:0], 0
-	m.probe.active = false
-	m.announceSelf = true
-	if gap > DeadMemory {
+	m.announceSelf = true // others may hold this process dead and then answer so
+	if gap > DeadMemory && !m.fetch.wanted {
 		m.fetch = fetch{wanted: true, done: true, started: m.now}
 	}
 }
--- a/core/coordination/membership/membership_test.go
+++ b/core/coordination/membership/membership_test.go
@@ -227,6 +227,38 @@
 	is.Equal(len(s.nodes[0].machine.records), 2)
 }
 
+// TestBrokenPath guards against members that are suspected because one other member cannot reach them.
+func TestBrokenPath(t *testing.T) {
+	is := is.New(t)
+	s := newCluster(t, 5)
+	s.cut = [2]int{2, 3}
+	s.run(60 * time.Second)
+	is.Equal(s.disagreement(), "")
+	is.Equal(s.nodes[2].machine.Stats().Suspicions+s.nodes[3].machine.Stats().Suspicions, uint64(0))
+}
+
+// TestAgreement guards against a process that does not notice that it misses members, and against full lists that are
+// read without need.
+func TestAgreement(t *testing.T) {
+	for name, test := range map[string]struct {
+		digest uint64
+		isRead bool
+	}{"same set": {0, false}, "another set": {1, true}} {
+		t.Run(name, func(t *testing.T) {
+			m, now := benchMachine(20)
+			for i := range 100 {
+				now = now.Add(simTick)
+				h := benchHost(1 + i%19)
+				m.Receive(h.Address, &Message{Kind: KindAnnounce, Sender: h, Digest: m.digest() ^ test.digest})
+				m.tickAgreement()
+				m.tickFetch()
+				m.advance(now)
+			}
+			is.New(t).True((m.out.(*discard).fetches > 0) == test.isRead)
+		})
+	}
+}
+
 // TestPages guards against members that the pages leave out or repeat when each page comes from another peer, and
 // against pages that do not start with the own failure domain.
 func TestPages(t *testing.T) {
--- a/core/coordination/membership/merge.go
+++ b/core/coordination/membership/merge.go
@@ -81,25 +81,21 @@
 	if placeOf(h) == placeOf(m.self) && !m.replaceAtOwnPlace(&h) {
 		return
 	}
-	r := m.records[h.Incarnation]
-	if r == nil {
-		if f, ok := m.former.hosts[h.Incarnation]; ok && !overrules(h, f) {
-			if f.State == member.StateDead && !isGone(h.State) {
-				m.suggestHeal(f.Address)
-			}
-			return
-		}
+	known := m.opinionOn(h.Incarnation)
+	switch {
+	case known == nil:
 		m.add(h, from)
-		return
-	}
-	if !overrules(h, r.host) {
-		if r.host.State == member.StateDead && !isGone(h.State) && m.places[placeOf(r.host)] == r &&
-			m.now.Sub(r.since) > SuspectTimeout {
-			m.suggestHeal(r.host.Address)
+	case isGone(known.host.State) && !isGone(h.State) && (from == sourceJoin || !overrules(h, known.host)):
+		// The member may be alive on the other side of a partition, or the peer may hold an old opinion. A ping tells.
+		if known.host.State == member.StateDead && m.now.Sub(known.since) > SuspectTimeout {
+			m.suggestHeal(h.Address)
 		}
-		return
+	case !overrules(h, known.host):
+	case m.records[h.Incarnation] == nil:
+		m.add(h, from)
+	default:
+		m.update(known, h)
 	}
-	m.update(r, h)
 }
 
 // mergeSelf overrules a wrong opinion on this process.
@@ -135,9 +131,6 @@
 	if len(m.records) >= MaxMembers || isGone(h.State) && len(m.dead) >= maxDead {
 		return
 	}
-	if h.State == member.StateSuspect && from == sourceGossip {
-		return // probably a member that this process has forgotten and a process after a long pause has not
-	}
 	current := m.places[placeOf(h)]
 	if current != nil && !startedLater(h, current.host) {
 		return // an earlier process of the same place
--- a/core/coordination/membership/probe.go
+++ b/core/coordination/membership/probe.go
@@ -94,11 +94,7 @@
 // askOthers asks other members to ping the target, since only the path from here may be broken.
 func (m *Machine) askOthers() {
 	target := m.probe.target
-	for range indirectProbes {
-		r := m.randomMember()
-		if r == nil || r == target {
-			continue
-		}
+	for _, r := range m.randomMembers(indirectProbes, target) {
 		m.send(r.host.Address, &Message{
 			Kind: KindPingRequest, Sequence: m.probe.sequence, Target: target.host.Incarnation,
 			TargetAddress: target.host.Address,
--- a/core/coordination/membership/sim_test.go
+++ b/core/coordination/membership/sim_test.go
@@ -22,6 +22,7 @@
 	loss     float64
 	maxDelay time.Duration
 	side     map[int]int // partition of each slot
+	cut      [2]int      // two slots without a path between them, if they differ
 	fail     func(format string, args ...any)
 	stopped  map[member.Incarnation]time.Time
 	version  uint64
@@ -99,7 +100,8 @@
 
 func (s *sim) post(from int, to netip.AddrPort, deliver func(n *node)) {
 	slot := s.slotOf(to)
-	if s.side[from] != s.side[slot] || s.random.Float64() < s.loss {
+	isCut := s.cut[0] != s.cut[1] && (s.cut == [2]int{from, slot} || s.cut == [2]int{slot, from})
+	if isCut || s.side[from] != s.side[slot] || s.random.Float64() < s.loss {
 		return
 	}
 	delay := time.Duration(s.random.Int64N(int64(s.maxDelay)))
@@ -246,9 +248,11 @@
 // disagreement returns the first difference between a view and the processes that run, or an empty string.
 func (s *sim) disagreement() string {
 	running := map[member.Incarnation]member.Host{}
+	digest := uint64(0)
 	for _, n := range s.nodes {
 		if n != nil {
 			running[n.machine.Self().Incarnation] = n.machine.Self()
+			digest ^= digestOf(n.machine.Self())
 		}
 	}
 	for _, n := range s.nodes {
@@ -268,6 +272,9 @@
 		if reachable != len(running) {
 			return fmt.Sprintf("%s sees %d of %d members", n.view.Self.ID, reachable, len(running))
 		}
+		if n.machine.digest() != digest {
+			return n.view.Self.ID + " has a wrong digest"
+		}
 	}
 	return ""
 }
