Close unused incoming sessions when others wait

A peer keeps a session for 30 s after one request, so many peers that join at once could shut each other out.

--- a/io/transport/peer/peer_test.go
+++ b/io/transport/peer/peer_test.go
@@ -237,6 +237,26 @@
 	is.Equal(a.transport.Counters().SessionsDialled, uint64(2))
 }
 
+// TestSessionLimit guards against a peer that is shut out because others keep unused sessions.
+func TestSessionLimit(t *testing.T) {
+	is := is.New(t)
+	b := start(t, Settings{MaxSessions: 1})
+	for range 3 {
+		a := start(t, Settings{})
+		_, err := a.transport.FetchTables(context.Background(), b.transport.Address(), &wire.TablesRequest{Have: []string{"d"}})
+		is.NoErr(err)
+		eventually(func() bool { // the reply may arrive before the stream is released
+			b.transport.mu.Lock()
+			defer b.transport.mu.Unlock()
+			for s := range b.transport.accepted {
+				return s.users == 0
+			}
+			return true
+		})
+	}
+	is.Equal(b.transport.Counters().SessionsRefused, uint64(0))
+}
+
 // TestSendDoesNotBlock guards against a sender that waits for a socket without room.
 func TestSendDoesNotBlock(t *testing.T) {
 	is := is.New(t)
@@ -253,3 +273,20 @@
 	is.Equal(k.DroppedSendError, uint64(0))
 	is.Equal(k.SentBytes[KindForward]/1201+k.DroppedSocketFull, uint64(2000))
 }
+
+// BenchmarkSendForward measures the cost of one forwarded datagram of 600 bytes.
+func BenchmarkSendForward(b *testing.B) {
+	p := &process{forwards: make(chan string, 1)}
+	p.Runner = NewRunner(wallClock{}, p)
+	tr, err := Listen(Settings{Listen: loopback}, Handlers{Forward: p, Gossip: p, Handover: p, Tables: p, Members: p})
+	is.New(b).NoErr(err)
+	defer func() { _ = tr.Close() }()
+	sink, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(loopback))
+	is.New(b).NoErr(err)
+	defer func() { _ = sink.Close() }()
+	to, payload := sink.LocalAddr().(*net.UDPAddr).AddrPort(), make([]byte, 600)
+	b.ReportAllocs()
+	for b.Loop() {
+		tr.SendForward(to, payload)
+	}
+}
--- a/io/transport/peer/session.go
+++ b/io/transport/peer/session.go
@@ -199,7 +199,7 @@
 func (t *Transport) admit(conn net.Conn) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.ctx.Err() != nil || len(t.accepted) >= t.settings.MaxSessions {
+	if t.ctx.Err() != nil || len(t.accepted) >= t.settings.MaxSessions && !t.evictAccepted() {
 		t.counters.refused.Add(1)
 		_ = conn.Close()
 		return
@@ -216,6 +216,23 @@
 	t.work.Go(func() { t.serve(s) })
 }
 
+// evictAccepted closes the accepted session without a stream that was used longest ago, so that peers which keep a
+// session after one request do not shut out others. The caller holds Transport.mu.
+func (t *Transport) evictAccepted() bool {
+	var oldest *session
+	for s := range t.accepted {
+		if s.users == 0 && (oldest == nil || s.used.Before(oldest.used)) {
+			oldest = s
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	t.shut(oldest)
+	delete(t.accepted, oldest)
+	return true
+}
+
 // serve handles the streams of one accepted session. A stream is accepted when there is room to serve it, so that
 // yamux refuses what a peer opens beyond the backlog.
 func (t *Transport) serve(s *session) {
