Let flows leave a pool shard without endpoints, and hold work after a pause

Cause: the random run and the planned drain of all endpoints of one failure domain ended feeds and requests for good: the owner kept flows although no endpoint could take them. A balancer resumed after 8 s sent work to an endpoint that had begun to leave meanwhile. A caller whose feed was unknown to the adopting owner heard answers to its keepalives and did not subscribe again. Change: a shard without slots, or without a usable endpoint for 2 s, hands its flows to the next shard of the pool; after a gap of 1 s between events a shard first takes in what waits for 500 ms; an answer to a keepalive names the open feed.

--- a/core/coordination/balancer/balancer.go
+++ b/core/coordination/balancer/balancer.go
@@ -103,7 +103,7 @@
 	stream uint64
 }
 
-// New returns a balancer without tables and with itself as the only member.
+// New returns a balancer without tables and without a membership view. It drops all packets until it has both.
 func New(self member.Host, config Config, clock Clock, out Outputs) *Balancer {
 	b := &Balancer{
 		self:     self.Incarnation,
@@ -118,7 +118,7 @@
 		random:   rand.New(rand.NewPCG(config.Seed, uint64(self.Incarnation))),
 	}
 	layout := routing.NewLayout(table.NewIndex(&table.Tables{}), config.ShardEndpoints)
-	b.plan.Store(routing.NewPlan(layout, member.NewView(0, self, []member.Host{self})))
+	b.plan.Store(routing.NewPlan(layout, member.NewView(0, self, nil)))
 	return b
 }
 
@@ -141,11 +141,15 @@
 	return true
 }
 
-// SetView takes a new membership view.
+// SetView takes a new membership view. A view that is not newer than the present one is ignored.
 func (b *Balancer) SetView(v *member.View) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.plan.Store(routing.NewPlan(b.plan.Load().Layout, v))
+	old := b.plan.Load()
+	if v.Version <= old.View.Version {
+		return
+	}
+	b.plan.Store(routing.NewPlan(old.Layout, v))
 	b.arrange()
 }
 
@@ -182,10 +186,15 @@
 	}
 	s := plan.Layout.Shard(key)
 	if s == nil {
-		b.retireShard(now, plan, key, sh)
+		b.setEndpoints(now, sh, nil)
+		b.leaveShard(now, plan, key, sh)
 		return
 	}
 	b.setEndpoints(now, sh, s.Endpoints)
+	if s.Slots == 0 || sh.IsStranded(now) {
+		b.leaveShard(now, plan, key, sh)
+		return
+	}
 	owner, ok := plan.Owner(s)
 	if !ok || owner.Incarnation == b.self {
 		sh.Stay()
@@ -208,11 +217,10 @@
 	return now.Sub(o.at) >= dwellTime
 }
 
-// retireShard moves the flows of a shard that the tables no longer have to another shard of the pool. Without one the
-// flows stay until they expire, and their requests are refused.
-func (b *Balancer) retireShard(now time.Time, plan *routing.Plan, key flow.ShardKey, sh *dispatch.Shard) {
-	b.setEndpoints(now, sh, nil)
-	target := plan.Choose(key.Pool, packet.FlowID{}, 0)
+// leaveShard moves the flows of a shard that has no endpoint for them to the next shard of the pool. Without one the
+// flows stay until they expire, and their requests are refused. All balancers with the same tables choose the same shard.
+func (b *Balancer) leaveShard(now time.Time, plan *routing.Plan, key flow.ShardKey, sh *dispatch.Shard) {
+	target := plan.Next(key)
 	if target == nil {
 		sh.Stay()
 		return
--- a/core/coordination/balancer/ingress.go
+++ b/core/coordination/balancer/ingress.go
@@ -28,6 +28,10 @@
 
 func (b *Balancer) route(f *packet.Forward, p *packet.Packet) {
 	plan := b.plan.Load()
+	if plan.View.Version == 0 || plan.Layout.Index.Tables.Version == 0 {
+		b.drop("not_joined")
+		return
+	}
 	route := plan.Layout.Index.RouteOf(f.Service)
 	if route == nil {
 		b.refuseUnrouted(f, p)
@@ -49,10 +53,9 @@
 	b.routeTicketed(plan, route, f, &t, p)
 }
 
-// refuseUnrouted answers an open without a route. Other packets are dropped, since their request may be running, and so
-// is everything while this process has no tables.
+// refuseUnrouted answers an open without a route. Other packets are dropped, since their request may be running.
 func (b *Balancer) refuseUnrouted(f *packet.Forward, p *packet.Packet) {
-	if p.Kind != packet.KindOpen || b.Version() == 0 {
+	if p.Kind != packet.KindOpen {
 		b.drop("no_route")
 		return
 	}
@@ -156,10 +159,8 @@
 	if sh := b.shards[t.Shard]; sh != nil {
 		return sh
 	}
-	if plan.Layout.Shard(t.Shard) == nil {
-		if s := plan.Choose(t.Shard.Pool, packet.FlowID{}, 0); s != nil {
-			return b.shards[s.Key]
-		}
+	if s := plan.ShardOf(t.Shard, t.Shard.Pool); s != nil {
+		return b.shards[s.Key]
 	}
 	return nil
 }
@@ -172,7 +173,7 @@
 		sh.HandleCaller(b.clock.Now(), originOf(f), t, p)
 		return
 	}
-	s := b.shardOf(plan, route, t)
+	s := plan.ShardOf(t.Shard, route.Pool)
 	if s == nil {
 		b.drop("no_shard")
 		return
@@ -189,15 +190,6 @@
 	b.localShard(s.Key, s.Service).HandleCaller(b.clock.Now(), originOf(f), t, p)
 }
 
-// shardOf returns the shard of a ticketed flow in the present layout. The flows of a shard that is gone all move to one
-// shard of the pool, see retireShard.
-func (b *Balancer) shardOf(plan *routing.Plan, route *table.Route, t *flow.Ticket) *routing.Shard {
-	if s := plan.Layout.Shard(t.Shard); s != nil && t.Shard.Pool == route.Pool {
-		return s
-	}
-	return plan.Choose(route.Pool, packet.FlowID{}, 0)
-}
-
 func (b *Balancer) localShard(key flow.ShardKey, service string) *dispatch.Shard {
 	b.mu.RLock()
 	sh := b.shards[key]
--- a/core/coordination/balancer/peers_test.go
+++ b/core/coordination/balancer/peers_test.go
@@ -247,6 +247,10 @@
 				c.next()
 			}
 		}
+	case packet.KindPong:
+		if c.feed != "" && p.Feed != c.feed {
+			c.subscribe()
+		}
 	case packet.KindItem:
 		c.receiveItem(p)
 	case packet.KindAnswer, packet.KindNotRun, packet.KindUnknown:
--- a/core/coordination/dispatch/attempts.go
+++ b/core/coordination/dispatch/attempts.go
@@ -26,6 +26,9 @@
 
 // dispatch sends waiting requests as long as slots are free.
 func (s *Shard) dispatch(now time.Time) {
+	if s.isCatchingUp(now) {
+		return
+	}
 	for {
 		it, expired := s.queue.Pop(now, s.canRun, s.endpoints.AnyFree())
 		for _, e := range expired {
@@ -51,6 +54,22 @@
 	}
 }
 
+// A process that was stopped may send work to an endpoint that has begun to leave meanwhile. After a gap between two
+// events it first takes in what waits in its sockets.
+const (
+	pauseGap    = time.Second // Tick is called many times in this time
+	catchUpTime = 500 * time.Millisecond
+)
+
+// isCatchingUp reports whether the process was paused a moment ago.
+func (s *Shard) isCatchingUp(now time.Time) bool {
+	if !s.eventAt.IsZero() && now.Sub(s.eventAt) >= pauseGap {
+		s.catchUpTill = now.Add(catchUpTime)
+	}
+	s.eventAt = now
+	return now.Before(s.catchUpTill)
+}
+
 // canRun reports whether an item that is pinned to an endpoint can be sent now. A pin to an endpoint that serves no
 // more is void, so that any free endpoint will do.
 func (s *Shard) canRun(a netip.AddrPort) bool {
--- a/core/coordination/dispatch/feeds.go
+++ b/core/coordination/dispatch/feeds.go
@@ -77,6 +77,9 @@
 func (s *Shard) subscribe(now time.Time, f *flowState) {
 	d := f.feed
 	d.retryAt = now.Add(feedRetry)
+	if s.isCatchingUp(now) {
+		return
+	}
 	a := f.endpoint
 	if !a.IsValid() || !s.endpoints.IsUsable(a) {
 		var ok bool
--- a/core/coordination/dispatch/flows.go
+++ b/core/coordination/dispatch/flows.go
@@ -207,9 +207,13 @@
 }
 
 // handlePing answers a keepalive. A caller whose ticket is not the present one gets the present one, and so learns of a
-// new owner before it sends the next non-idempotent request.
+// new owner before it sends the next non-idempotent request. The name of the open feed tells the caller whether it must
+// subscribe again: an owner that adopted the flow does not know its feed.
 func (s *Shard) handlePing(now time.Time, f *flowState, t *flow.Ticket) {
 	reply := &packet.Packet{Kind: packet.KindPong, Flow: f.id}
+	if f.feed != nil {
+		reply.Feed = f.feed.name
+	}
 	if t.Grant != f.grant() || t.Endpoint != f.endpoint || t.Shard != s.key {
 		reply.Ticket = s.ticket(now, f)
 	}
--- a/core/coordination/dispatch/shard.go
+++ b/core/coordination/dispatch/shard.go
@@ -148,6 +148,9 @@
 	handover    handoverState
 	createdAt   time.Time               // when the first endpoint was added
 	unlisted    map[netip.AddrPort]bool // endpoints no longer in the tables that still have attempts
+	strandedAt  time.Time               // since when no endpoint is usable; zero while one is
+	eventAt     time.Time               // last event
+	catchUpTill time.Time               // no work is sent before
 	closed      bool                    // no endpoint is left and no new work is taken
 }
 
@@ -293,6 +296,27 @@
 	s.expireAnswers(now)
 	s.expireFlows(now)
 	s.continueHandover(now)
+	s.watchEndpoints(now)
+}
+
+// strandedTime is the time without a usable endpoint after which a shard's flows should move to another shard. It is
+// longer than a reconnection takes.
+const strandedTime = 2 * time.Second
+
+func (s *Shard) watchEndpoints(now time.Time) {
+	switch {
+	case s.endpoints.AnyUsable():
+		s.strandedAt = time.Time{}
+	case s.strandedAt.IsZero():
+		s.strandedAt = now
+	}
+}
+
+// IsStranded reports whether the shard has had no usable endpoint for some time.
+func (s *Shard) IsStranded(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.strandedAt.IsZero() && now.Sub(s.strandedAt) >= strandedTime
 }
 
 // Load is a summary of a shard for status and tests.
--- a/core/coordination/routing/layout.go
+++ b/core/coordination/routing/layout.go
@@ -5,7 +5,6 @@
 	"math"
 	"net/netip"
 	"slices"
-	"strings"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -88,7 +87,7 @@
 			s.Slots += e.Slots
 		}
 	}
-	slices.SortFunc(pl.Shards, func(a, b *Shard) int { return strings.Compare(a.Key.String(), b.Key.String()) })
+	slices.SortFunc(pl.Shards, func(a, b *Shard) int { return a.Key.Compare(b.Key) })
 	for _, s := range pl.Shards {
 		slices.SortFunc(s.Endpoints, func(a, b table.Endpoint) int { return a.Address.Compare(b.Address) })
 		s.number = len(l.Shards)
@@ -170,6 +169,22 @@
 	return p.Shards[(first+spill)%len(p.Shards)]
 }
 
+// Next returns the first shard after a key, in the order of keys and round, that has slots, or nil. It is never the
+// shard of the key itself.
+func (p *PoolLayout) Next(key flow.ShardKey) *Shard {
+	start := 0
+	for start < len(p.Shards) && p.Shards[start].Key.Compare(key) <= 0 {
+		start++
+	}
+	for i := range p.Shards {
+		s := p.Shards[(start+i)%len(p.Shards)]
+		if s.Slots > 0 && s.Key != key {
+			return s
+		}
+	}
+	return nil
+}
+
 // mix combines two hashes (finalizer of splitmix64).
 func mix(a, b uint64) uint64 {
 	x := a ^ (b * 0x9e3779b97f4a7c15)
--- a/core/coordination/routing/plan.go
+++ b/core/coordination/routing/plan.go
@@ -90,11 +90,25 @@
 	return pl.Choose(id, spill)
 }
 
-// ShardOf returns the shard that a ticketed flow belongs to now: the ticket's own shard while it exists, else the
-// shard that the flow ID selects in the pool of its route.
-func (p *Plan) ShardOf(key flow.ShardKey, pool string, id packet.FlowID) *Shard {
-	if s := p.Layout.Shard(key); s != nil && key.Pool == pool {
+// Next returns the shard of a key's pool that takes the flows of that key when its shard has no endpoint for them, or
+// nil.
+func (p *Plan) Next(key flow.ShardKey) *Shard {
+	pl := p.Layout.Pool(key.Pool)
+	if pl == nil {
+		return nil
+	}
+	return pl.Next(key)
+}
+
+// ShardOf returns the shard that a ticketed flow belongs to now: the ticket's own shard while it has slots, else the
+// next one of the pool.
+func (p *Plan) ShardOf(key flow.ShardKey, pool string) *Shard {
+	s := p.Layout.Shard(key)
+	if key.Pool == pool && s != nil && s.Slots > 0 {
 		return s
 	}
-	return p.Choose(pool, id, 0)
+	if next := p.Next(flow.ShardKey{Pool: pool, FailureDomain: key.FailureDomain, Group: key.Group}); next != nil {
+		return next
+	}
+	return s
 }
--- a/core/state/packet/packet.go
+++ b/core/state/packet/packet.go
@@ -78,7 +78,7 @@
 	KindItem           // carries one feed item
 	KindItemAck        // acknowledges feed items up to and including Sequence
 	KindPing           // keepalive
-	KindPong           // answer to a keepalive; may carry a newer ticket
+	KindPong           // answer to a keepalive; names the open feed and may carry a newer ticket
 	KindClose          // ends the flow
 	KindCount
 )
@@ -136,7 +136,7 @@
 	Segments   uint32        // Answer: number of segments of the whole answer
 	Size       uint32        // Answer: size of the whole answer in bytes
 	Digest     uint64        // Answer: xxhash64 of the whole answer
-	Feed       string        // Subscribe
+	Feed       string        // Subscribe, Item; Pong: the open feed, empty without one
 	Sequence   uint64        // Subscribe: first item wanted; Item: its number; ItemAck: last item received in order
 	Payload    []byte
 }
--- a/io/transport/host/events.go
+++ b/io/transport/host/events.go
@@ -115,7 +115,7 @@
 
 func (e membershipEvents) SetView(v *member.View) {
 	e.h.tables.SetView(v)
-	e.h.balancer.SetView(v)
+	e.h.takeView(v)
 }
 
 func (e membershipEvents) OfferTables(from member.Host, version uint64) {
--- a/io/transport/host/host.go
+++ b/io/transport/host/host.go
@@ -66,6 +66,9 @@
 	operator *operator.Server
 
 	draining  atomic.Bool
+	joined    atomic.Bool                 // the core has a membership view
+	latest    atomic.Pointer[member.View] // last view of the gossip
+	joining   joinTimes
 	announced uint64 // table version last given to the gossip; used by the ticking goroutine alone
 	ctx       context.Context
 	cancel    context.CancelFunc
@@ -194,6 +197,7 @@
 			return
 		case <-ticker.C:
 		}
+		h.admitView(time.Now())
 		h.balancer.Tick()
 		h.tables.Tick()
 		if v := h.tables.Version(); v != h.announced {
--- a/io/transport/host/status.go
+++ b/io/transport/host/status.go
@@ -28,7 +28,9 @@
 // probe implements operator.Probe.
 type probe struct{ h *Host }
 
-func (p probe) IsReady() bool { return !p.h.draining.Load() && p.h.tables.IsReady() }
+func (p probe) IsReady() bool {
+	return !p.h.draining.Load() && p.h.joined.Load() && p.h.tables.IsReady()
+}
 
 func (p probe) Status() any {
 	h := p.h
