--- a/io/transport/caller/caller.go
+++ b/io/transport/caller/caller.go
@@ -50,7 +50,7 @@
 type Counters struct {
 	Received          uint64
 	Sent              uint64
-	DroppedEnvelope   uint64 // received: the envelope cannot be decoded
+	DroppedEnvelope   uint64 // received: the envelope cannot be decoded or has no service address
 	DroppedPacket     uint64 // received: the packet cannot be decoded
 	DroppedNoAddress  uint64 // to send: the caller or the service has no address
 	DroppedTooLarge   uint64 // to send: above packet.MaxDatagramBytes
--- a/io/transport/caller/receive.go
+++ b/io/transport/caller/receive.go
@@ -53,7 +53,7 @@
 
 func (t *Transport) handle(r *receiver, datagram []byte) {
 	t.counters.received.Add(1)
-	if r.decoder.DecodeEnvelope(datagram, &r.envelope) != nil {
+	if r.decoder.DecodeEnvelope(datagram, &r.envelope) != nil || !r.envelope.Service.IsValid() {
 		t.counters.envelope.Add(1)
 		return
 	}
