--- a/core/coordination/balancer/ingress.go
+++ b/core/coordination/balancer/ingress.go
@@ -49,9 +49,10 @@
 	b.routeTicketed(plan, route, f, &t, p)
 }
 
-// refuseUnrouted answers an open without a route. Other packets are dropped: their request may be running.
+// refuseUnrouted answers an open without a route. Other packets are dropped, since their request may be running, and so
+// is everything while this process has no tables.
 func (b *Balancer) refuseUnrouted(f *packet.Forward, p *packet.Packet) {
-	if p.Kind != packet.KindOpen {
+	if p.Kind != packet.KindOpen || b.Version() == 0 {
 		b.drop("no_route")
 		return
 	}
@@ -142,12 +143,9 @@
 		sh.HandleCaller(b.clock.Now(), originOf(f), t, p)
 		return true
 	}
-	host, known := plan.View.Lookup(sentTo)
-	if !known {
-		b.drop("receiver_gone")
-		return true
-	}
-	b.forward(host, f)
+	// The packet must not overtake the handover: the receiver would take the flow for lost and answer its non-idempotent
+	// requests with unknown. The caller's retransmission follows when the receiver has confirmed.
+	b.drop("handover_pending")
 	return true
 }
 
--- a/core/coordination/dispatch/attempts.go
+++ b/core/coordination/dispatch/attempts.go
@@ -1,7 +1,9 @@
 package dispatch
 
 import (
+	"maps"
 	"net/netip"
+	"slices"
 	"time"
 
 	"cornellb/core/coordination/endpoint"
@@ -65,7 +67,7 @@
 		s.retryLater(now, f, r, pe, packet.ReasonNoEndpoint)
 		return
 	}
-	if r.State == flow.StateSent && !r.Idempotent {
+	if (r.State == flow.StateSent || r.MayHaveRun) && !r.Idempotent {
 		s.violation("second_send")
 		return
 	}
@@ -203,9 +205,7 @@
 	if f == nil {
 		return
 	}
-	if a.pending.attempts == 1 {
-		r.State = flow.StateQueued // no attempt has started so far
-	}
+	r.State = flow.StateQueued
 	if a.cancelled {
 		s.giveUp(now, f, r, packet.ReasonCancelled, 0)
 		return
@@ -223,7 +223,7 @@
 	if f == nil {
 		return
 	}
-	if !m.Started && a.pending.attempts == 1 {
+	if !m.Started {
 		r.State = flow.StateQueued
 	}
 	s.giveUp(now, f, r, packet.ReasonCancelled, 0)
@@ -246,7 +246,8 @@
 			notStarted[m.Attempt] = true
 		}
 	}
-	for number, a := range s.attempts {
+	for _, number := range slices.Sorted(maps.Keys(s.attempts)) {
+		a := s.attempts[number]
 		if a.endpoint != address {
 			continue
 		}
@@ -256,16 +257,15 @@
 		if f == nil {
 			continue
 		}
-		if notStarted[number] && a.pending.attempts == 1 {
-			r.State = flow.StateQueued
-		}
+		r.MayHaveRun = r.MayHaveRun || !notStarted[number]
+		r.State = flow.StateQueued
 		switch {
 		case a.cancelled:
 			s.giveUp(now, f, r, packet.ReasonCancelled, 0)
-		case r.Idempotent || r.State == flow.StateQueued:
+		case r.Idempotent || !r.MayHaveRun:
 			s.retryLater(now, f, r, a.pending, packet.ReasonConnectionLost)
 		default:
-			s.settleUnknown(now, f, r, packet.ReasonConnectionLost)
+			s.giveUp(now, f, r, packet.ReasonConnectionLost, 0)
 		}
 	}
 }
@@ -273,7 +273,8 @@
 // expireAttempts settles requests whose deadline has passed, and frees the slots of attempts that the backend server
 // never answered.
 func (s *Shard) expireAttempts(now time.Time) {
-	for number, a := range s.attempts {
+	for _, number := range slices.Sorted(maps.Keys(s.attempts)) {
+		a := s.attempts[number]
 		if now.Before(a.pending.item.Deadline) {
 			continue
 		}
