Run a request only under a grant of its owner, idempotent or not

Its owner was paused and taken for dead; the new owner ran the idempotent request under the old ticket; the old owner resumed and refused its queued copy at the deadline. Ruled out: the queue and the records, which were right for each owner alone. Change: the present owner answers every request under a lost owner's ticket with unknown and a new ticket; the client repeats idempotent requests under the new ticket and remembers that the first try may have run.

--- a/core/coordination/balancer/failures_test.go
+++ b/core/coordination/balancer/failures_test.go
@@ -314,7 +314,6 @@
 	for _, c := range f.callers {
 		if c.feed != "" && c.delivered < delivered[c]+100 {
 			f.fault("feed of %s made %d items in %v", c.name, c.delivered-delivered[c], d)
-			fmt.Println(f.explain(c))
 		}
 		if c.feed == "" && c.answered < answered[c]+20 {
 			f.fault("%s got %d answers in %v", c.name, c.answered-answered[c], d)
--- a/core/coordination/balancer/peers_test.go
+++ b/core/coordination/balancer/peers_test.go
@@ -181,6 +181,7 @@
 	request    uint64
 	deadline   time.Time
 	segments   map[uint32][]byte
+	mayHaveRun bool // an earlier try under another ticket may have run
 }
 
 func (w *world) addCaller(service netip.AddrPort, feed string) *caller {
@@ -287,6 +288,16 @@
 	c.transmit(c.current)
 }
 
+// repeat tries an idempotent request again under the flow's new ticket.
+func (c *caller) repeat(k *call) {
+	c.request++
+	c.current = &call{
+		id: k.id, idempotent: true, ticket: c.ticket, request: c.request, deadline: k.deadline,
+		segments: map[uint32][]byte{}, mayHaveRun: true,
+	}
+	c.transmit(c.current)
+}
+
 func (c *caller) transmit(k *call) {
 	if c.current != k || c.done {
 		return
@@ -314,9 +325,17 @@
 	k := c.current
 	switch p.Kind {
 	case packet.KindNotRun:
-		c.notRun[k.id] = p.Reason
+		if k.mayHaveRun {
+			c.unknown[k.id] = p.Reason
+		} else {
+			c.notRun[k.id] = p.Reason
+		}
 		c.finish(func() {})
 	case packet.KindUnknown:
+		if k.idempotent && p.Reason == packet.ReasonOwnerLost && len(p.Ticket) > 0 {
+			c.repeat(k)
+			return
+		}
 		c.unknown[k.id] = p.Reason
 		c.finish(func() {})
 	case packet.KindAnswer:
--- a/core/coordination/dispatch/requests.go
+++ b/core/coordination/dispatch/requests.go
@@ -30,8 +30,9 @@
 		s.repeat(now, f, r, int(p.Segment))
 		return
 	}
-	if !p.Idempotent && !f.accepts(t.Grant) {
-		// The former owner may have sent the request to a backend server.
+	if !f.accepts(t.Grant) {
+		// The former owner may have sent the request to a backend server, or may still refuse it as not run. The caller
+		// repeats an idempotent request under its new ticket.
 		s.reportUnknown(now, f, p.Request, packet.ReasonOwnerLost, true)
 		return
 	}
@@ -45,7 +46,6 @@
 		return
 	}
 	r.Idempotent = p.Idempotent
-	r.MayHaveRun = !f.accepts(t.Grant)
 	r.State = flow.StateQueued
 	if p.Timeout <= 0 {
 		s.giveUp(now, f, r, packet.ReasonDeadline, 0)
--- a/core/state/flow/flow.go
+++ b/core/state/flow/flow.go
@@ -79,7 +79,7 @@
 	Request    uint64
 	State      RequestState
 	Idempotent bool
-	MayHaveRun bool // an earlier attempt, here or at a former owner, may have started
+	MayHaveRun bool // an earlier attempt may have started
 	Reason     packet.Reason
 	RetryAfter time.Duration
 	Answer     []byte    // whole answer, until confirmed or expired; nil afterwards
--- a/io/transport/client/request.go
+++ b/io/transport/client/request.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"cornellb/core/state/flow"
 	"cornellb/core/state/packet"
 )
@@ -29,7 +31,9 @@
 	answers  assembler
 }
 
-// Do runs a request and returns its whole answer, a *NotRunError or an *UnknownError.
+// Do runs a request and returns its whole answer, a *NotRunError or an *UnknownError. An idempotent request whose owner
+// was lost is repeated under the flow's new ticket; after that it never ends as not run, since its first try may have
+// run.
 func (f *Flow) Do(ctx context.Context, r Request) ([]byte, error) {
 	if len(r.Payload) > packet.MaxPayloadBytes {
 		cause := &SizeError{Field: "payload", Size: len(r.Payload), Limit: packet.MaxPayloadBytes}
@@ -42,6 +46,24 @@
 	if d, ok := ctx.Deadline(); ok && d.Before(deadline) {
 		deadline = d
 	}
+	mayHaveRun := false
+	for {
+		answer, err := f.try(ctx, deadline, r)
+		var unknown *UnknownError
+		var notRun *NotRunError
+		switch {
+		case r.Idempotent && errors.As(err, &unknown) && unknown.Reason == packet.ReasonOwnerLost:
+			mayHaveRun = true // the flow has a new ticket
+		case mayHaveRun && errors.As(err, &notRun):
+			return nil, &UnknownError{Reason: notRun.Reason, Cause: notRun.Cause}
+		default:
+			return answer, err
+		}
+	}
+}
+
+// try runs a request under the flow's present ticket.
+func (f *Flow) try(ctx context.Context, deadline time.Time, r Request) ([]byte, error) {
 	q, err := f.begin(ctx, deadline)
 	if err != nil {
 		return nil, &NotRunError{Reason: reasonOf(err), Cause: err}
