--- a/command/apply.go
+++ b/command/apply.go
@@ -36,7 +36,8 @@
 		RunE: func(c *cobra.Command, args []string) error { return runApply(c, o, args[0]) },
 	}
 	o.platform.register(c)
-	c.Flags().StringVar(&o.operator, "operator", currentUser(), "name recorded with the change")
+	c.Flags().StringVar(&o.operator, "operator", currentUser(), "name recorded with the change, by default that of the user")
+	c.Flags().Lookup("operator").DefValue = "" // the help text is the same for every user
 	return c
 }
 
--- a/command/balancer.go
+++ b/command/balancer.go
@@ -9,7 +9,6 @@
 	"syscall"
 	"time"
 
-	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
 	"github.com/zeromicro/go-zero/core/logx"
 	"github.com/zeromicro/go-zero/core/proc"
@@ -30,7 +29,10 @@
 		Long: `Run a balancer until SIGTERM or SIGINT.
 
 The first signal drains: the fabric is told through /readyz, requests in progress finish, and flows and feeds are handed
-over to other balancers. A second signal ends the process at once.`,
+over to other balancers. A second signal ends the process at once, without handing anything over.
+
+The exit code is 0 after a drain, 1 if the process could not start or its drain was interrupted, and 2 if the settings
+are faulty.`,
 		Example: "  cornellb balancer --settings balancer.yaml",
 		Args:    inputArgs(cobra.NoArgs),
 		RunE: func(c *cobra.Command, _ []string) error {
@@ -41,7 +43,7 @@
 			return runBalancer(s, newLogger(s.Log, c.ErrOrStderr()))
 		},
 	}
-	c.Flags().StringVar(&file, "settings", "", "YAML file with the settings")
+	c.Flags().StringVar(&file, "settings", "", "YAML file with the settings, see docs/operations.md")
 	return c
 }
 
@@ -50,11 +52,10 @@
 		return nil, &InputError{Message: "--settings must name a file"}
 	}
 	s, err := settings.Load(file)
-	var faults *settings.FaultsError
-	if errors.As(err, &faults) {
+	if err != nil {
 		return nil, &InputError{Message: err.Error()}
 	}
-	return s, err
+	return s, nil
 }
 
 func newLogger(l settings.Log, out io.Writer) *slog.Logger {
--- a/command/check.go
+++ b/command/check.go
@@ -3,20 +3,22 @@
 import (
 	"fmt"
 	"os"
+	"slices"
 	"strings"
 
 	"github.com/spf13/cobra"
 	"gopkg.in/yaml.v3"
 
+	"cornellb/core/state/table"
 	"cornellb/io/protocol/platform"
 	"cornellb/io/protocol/settings"
 )
 
-// fileChecker checks the files that it recognizes and returns an error with all of their faults.
+// fileChecker checks the files that it recognizes and returns an error with all of their faults and the file's name.
 type fileChecker struct {
 	name    string
 	matches func(data []byte) bool
-	check   func(data []byte) error
+	check   func(file string, data []byte) error
 }
 
 // fileCheckers are asked in this order. The last one takes every file.
@@ -28,11 +30,13 @@
 func newCheckCommand() *cobra.Command {
 	return &cobra.Command{
 		Use:   "check FILE...",
-		Short: "Check files and print all of their faults",
-		Long: `Check tables files without the platform and print all faults of all files.
+		Short: "Check settings and tables files and print all of their faults",
+		Long: `Check settings and tables files without the platform and print all faults of all files.
 
-The exit code is 0 if there are none and 2 otherwise.`,
-		Example: "  cornellb check tables.yaml",
+A file with a setting and without tables on its top level is a settings file; every other file is a tables file.
+
+The exit code is 0 if there are no faults and 2 otherwise.`,
+		Example: "  cornellb check balancer.yaml tables.yaml",
 		Args:    inputArgs(cobra.MinimumNArgs(1)),
 		RunE:    runCheck,
 	}
@@ -43,7 +47,7 @@
 	for _, file := range files {
 		name, err := checkFile(file)
 		if err != nil {
-			faulty = append(faulty, fmt.Sprintf("%s: %v", file, err))
+			faulty = append(faulty, err.Error())
 			continue
 		}
 		fmt.Fprintf(c.OutOrStdout(), "%s: %s ok\n", file, name)
@@ -57,34 +61,44 @@
 func checkFile(file string) (string, error) {
 	data, err := os.ReadFile(file)
 	if err != nil {
-		return "", err
+		return "", fmt.Errorf("%s: %w", file, err)
 	}
 	for _, f := range fileCheckers {
 		if f.matches(data) {
-			return f.name, f.check(data)
+			return f.name, f.check(file, data)
 		}
 	}
-	return "", &InputError{Message: "unknown kind of file"}
+	return "", &InputError{Message: file + ": unknown kind of file"}
 }
 
-// isSettings tells settings from tables by a name that only settings have on the top level.
+// isSettings tells settings from tables by the names on the top level.
 func isSettings(data []byte) bool {
 	var names map[string]any
 	if err := yaml.Unmarshal(data, &names); err != nil {
 		return false
 	}
-	_, ok := names["ticket_keys"]
-	return ok
+	for _, name := range []string{table.Routes, table.Pools} {
+		if _, ok := names[name]; ok {
+			return false
+		}
+	}
+	return slices.ContainsFunc(settings.Names(), func(name string) bool {
+		_, ok := names[name]
+		return ok
+	})
 }
 
-func checkSettings(data []byte) error {
-	_, err := settings.Parse("settings", data)
+func checkSettings(file string, data []byte) error {
+	_, err := settings.Parse(file, data)
 	return err
 }
 
-func checkTables(data []byte) error {
+func checkTables(file string, data []byte) error {
 	_, err := platform.DecodeTables(data)
-	return err
+	if err != nil {
+		return fmt.Errorf("%s: %w", file, err)
+	}
+	return nil
 }
 
 // inputArgs makes wrong arguments faulty input.
--- a/command/version.go
+++ b/command/version.go
@@ -13,8 +13,8 @@
 func newVersionCommand() *cobra.Command {
 	return &cobra.Command{
 		Use:   "version",
-		Short: "Print the version of the program",
-		Args:  cobra.NoArgs,
+		Short: "Print the version of the program and of the Go tools that built it",
+		Args:  inputArgs(cobra.NoArgs),
 		RunE: func(c *cobra.Command, _ []string) error {
 			goVersion := "unknown"
 			if info, ok := debug.ReadBuildInfo(); ok {
--- a/io/transport/host/host.go
+++ b/io/transport/host/host.go
@@ -174,7 +174,7 @@
 	d.MaxFlows = s.MaxFlows
 	d.FlowIdle = s.FlowIdle
 	return balancer.Config{
-		ShardEndpoints: s.ShardEndpoints, PreferLocal: s.PreferLocal, Dispatch: d, Seed: rand.Uint64(),
+		ShardEndpoints: s.ShardEndpoints, Dispatch: d, Seed: rand.Uint64(),
 	}
 }
 
