Handle a packet of a held flow under one lock

Cause: whether a shard holds a flow and the handling of its packet were two steps; a handover confirmed between them made the old owner adopt the flow again and answer its requests with unknown (found by reading). Change: HandleHeld does both under the shard's lock.

--- a/core/coordination/balancer/ingress.go
+++ b/core/coordination/balancer/ingress.go
@@ -118,16 +118,14 @@
 // the flow's shard.
 func (b *Balancer) routeTicketed(plan *routing.Plan, route *table.Route, f *packet.Forward, t *flow.Ticket,
 	p *packet.Packet) {
+	if b.handleHeld(plan, f, t, p) {
+		return
+	}
 	if t.Grant.Owner != b.self && f.Hops == 0 {
-		if b.handleHeld(plan, f, t, p) {
-			return
-		}
 		if host, ok := plan.View.Lookup(t.Grant.Owner); ok && host.IsReachable() {
 			b.forward(host, f)
 			return
 		}
-	} else if b.handleHeld(plan, f, t, p) {
-		return
 	}
 	b.routeToOwner(plan, route, f, t, p)
 }
@@ -138,18 +136,7 @@
 	if sh == nil {
 		return false
 	}
-	sentTo, ok := sh.Holds(t.Flow)
-	if !ok {
-		return false
-	}
-	if sentTo == 0 {
-		sh.HandleCaller(b.clock.Now(), originOf(f), t, p)
-		return true
-	}
-	// The packet must not overtake the handover: the receiver would take the flow for lost and answer its non-idempotent
-	// requests with unknown. The caller's retransmission follows when the receiver has confirmed.
-	b.drop("handover_pending")
-	return true
+	return sh.HandleHeld(b.clock.Now(), originOf(f), t, p)
 }
 
 // holder returns the local shard that may hold a flow: the one in the ticket, or the one that its flows were moved to.
--- a/core/coordination/dispatch/flows.go
+++ b/core/coordination/dispatch/flows.go
@@ -145,18 +145,37 @@
 	f.lastSeen, f.caller, f.service = now, from.Caller, from.Service
 }
 
-// HandleCaller takes a packet of a ticketed flow. The ticket is authentic and fits the packet's flow and service.
+// HandleHeld takes a packet of a ticketed flow if the shard holds that flow, and reports whether it does. The ticket is
+// authentic and fits the packet's flow and service.
+func (s *Shard) HandleHeld(now time.Time, from Origin, t *flow.Ticket, p *packet.Packet) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f := s.flows[p.Flow]
+	if f == nil {
+		return false
+	}
+	s.handlePacket(now, f, from, t, p)
+	return true
+}
+
+// HandleCaller takes a packet of a ticketed flow. A flow that the shard does not hold is adopted.
 func (s *Shard) HandleCaller(now time.Time, from Origin, t *flow.Ticket, p *packet.Packet) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	f := s.flows[p.Flow]
 	if f == nil {
-		if f = s.adopt(now, from, t, p); f == nil {
-			return
-		}
+		f = s.adopt(now, from, t, p)
 	}
+	if f != nil {
+		s.handlePacket(now, f, from, t, p)
+	}
+}
+
+func (s *Shard) handlePacket(now time.Time, f *flowState, from Origin, t *flow.Ticket, p *packet.Packet) {
 	if f.sentTo != 0 {
-		s.drop("handed_over")
+		// The packet must not overtake the handover: the receiver would take the flow for lost and answer its requests
+		// with unknown. The caller's retransmission follows when the receiver has confirmed.
+		s.drop("handover_pending")
 		return
 	}
 	f.touch(now, from)
--- a/core/coordination/dispatch/handover.go
+++ b/core/coordination/dispatch/handover.go
@@ -181,17 +181,6 @@
 	return removed
 }
 
-// Holds reports whether the shard has the flow, and the incarnation that it was sent to, if any.
-func (s *Shard) Holds(id packet.FlowID) (sentTo member.Incarnation, ok bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	f := s.flows[id]
-	if f == nil {
-		return 0, false
-	}
-	return f.sentTo, true
-}
-
 // AbandonReceivers forgets flows that were sent to an incarnation that is gone. Their tickets count as foreign from now
 // on, so that no non-idempotent request of theirs is run again.
 func (s *Shard) AbandonReceivers(isGone func(member.Incarnation) bool) {
