Keep a paused process from bringing back members that ended

These records are now dropped after a pause, and a suspicion no longer brings back a member that is gone.

--- a/core/coordination/membership/membership.go
+++ b/core/coordination/membership/membership.go
@@ -263,8 +263,9 @@
 	m.settled = m.now.Add(settleTime)
 	m.queue = m.queue[:0]
 	for _, r := range m.records {
-		r.queued = nil
+		r.queued, r.isHeard = nil, false
 	}
+	m.heard, m.heardNext = m.heard[:0], 0
 	m.announceSelf = true // others may hold this process dead and then answer so
 	if gap > DeadMemory && !m.fetch.wanted {
 		m.fetch = fetch{wanted: true, done: true, started: m.now}
--- a/core/coordination/membership/merge.go
+++ b/core/coordination/membership/merge.go
@@ -85,8 +85,10 @@
 	switch {
 	case known == nil:
 		m.add(h, from)
-	case isGone(known.host.State) && !isGone(h.State) && (from == sourceJoin || !overrules(h, known.host)):
-		// The member may be alive on the other side of a partition, or the peer may hold an old opinion. A ping tells.
+	case isGone(known.host.State) && !isGone(h.State) &&
+		(from == sourceJoin || h.State == member.StateSuspect || !overrules(h, known.host)):
+		// A list or a suspicion brings nobody back, even with a later refutation number. The member may be alive on the
+		// other side of a partition, or the peer may hold an old opinion. A ping tells.
 		if known.host.State == member.StateDead && m.now.Sub(known.since) > SuspectTimeout {
 			m.suggestHeal(h.Address)
 		}
