Keep bash from reporting the balancer that the demo kills

Cause: the shell's message about the killed process appeared in the middle of the closing table. Change: the script waits for the killed process. Result: KILL=1 KILL_BALANCER=4 tools/demo.sh passes without the message.

--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -180,6 +180,7 @@
   checks=(--answered 0.73)
   sleep $((SECONDS_OF_LOAD / 2))
   kill -KILL "${balancer_pid[$KILL_BALANCER]}"
+  wait "${balancer_pid[$KILL_BALANCER]}" 2>/dev/null || true # keeps bash from reporting the death
   echo "demo: killed balancer-$KILL_BALANCER"
 fi
 wait "$caller_pid"
