List the slopes of the capacity page and run them with one command

Cause: the benchmarks of the mechanisms stand in nine packages.

Change: tools/slopes runs each of them with a fixed command and writes one file with the sizes, the lowest and highest value of the runs, seed, commit and date.

--- a/Makefile
+++ b/Makefile
@@ -26,5 +26,10 @@
 measure: build
 	$(GO) test -count=1 -run '^$$' -bench . -benchmem ./core/... ./io/...
 
+# Runs the benchmarks of tools/slopes, one command after the other, and writes the tables and the plot of the page anew.
+capacity: build
+	$(GO) run ./tools/slopes -out docs/capacity/slopes.yaml
+	./bin/cornellb capacity --slopes docs/capacity/slopes.yaml --page docs/CAPACITY.md --plot docs/capacity/fleet.svg
+
 generate:
 	$(GO) run github.com/bufbuild/buf/cmd/buf@v1.75.0 generate
--- /dev/null
+++ b/core/state/capacity/slopes.go
@@ -0,0 +1,172 @@
+// Package capacity computes what a fleet of a given size costs each role, from measured slopes, and sets it against the
+// budgets.
+//
+// # Usage
+//
+// Load reads the slopes that `make capacity` wrote. Compute turns them and a Fleet into the rows of a Report: ordinary
+// load by role, worst moments, and the size at which each mechanism leaves its budget. Markdown writes the report, and
+// Curves gives the series of the plot. Nothing here measures.
+package capacity
+
+import (
+	"fmt"
+	"math"
+
+	"github.com/pkg/errors"
+	"gopkg.in/yaml.v3"
+)
+
+// Growth says how a slope continues beyond the largest size that was measured.
+type Growth string
+
+// The ways of growth. All of them interpolate between measured sizes.
+const (
+	GrowthFlat   Growth = "flat"        // the value at the largest size holds
+	GrowthLinear Growth = "linear"      // along the line through the two largest sizes
+	GrowthLog    Growth = "logarithmic" // along the same line over the logarithm of the size
+)
+
+// Kind says what a slope counts and so how far it can be trusted.
+type Kind string
+
+// The kinds. Counts do not depend on the load of the machine; times are the minimum of several runs.
+const (
+	KindCount Kind = "count"
+	KindTime  Kind = "time"
+)
+
+// Point is one measured size.
+type Point struct {
+	Size    float64 `yaml:"size"`
+	Value   float64 `yaml:"value"`   // the lowest of all runs
+	Highest float64 `yaml:"highest"` // the highest of all runs
+}
+
+// Slope is one measured quantity over several sizes.
+type Slope struct {
+	Name    string  `yaml:"name"`
+	Title   string  `yaml:"title"`
+	Unit    string  `yaml:"unit"`
+	Over    string  `yaml:"over"` // what the sizes count
+	Kind    Kind    `yaml:"kind"`
+	Growth  Growth  `yaml:"growth"`
+	Points  []Point `yaml:"points"` // three or more, in order of size
+	Runs    int     `yaml:"runs"`
+	Command string  `yaml:"command"`
+	Seed    string  `yaml:"seed"`
+	Version string  `yaml:"version"`
+	Date    string  `yaml:"date"`
+}
+
+// noisySpread is the difference between the runs of one size, as a share of the lowest, from which a slope is marked.
+const noisySpread = 0.3
+
+// Spread returns the largest difference between the runs of one size as a share of the lowest.
+func (s *Slope) Spread() float64 {
+	spread := 0.0
+	for _, p := range s.Points {
+		if p.Value != 0 {
+			spread = max(spread, (p.Highest-p.Value)/math.Abs(p.Value))
+		}
+	}
+	return spread
+}
+
+// Quality describes how far the values can be trusted.
+func (s *Slope) Quality() string {
+	switch {
+	case s.Kind == KindCount && s.Runs < 2:
+		return "one run of a fixed seed"
+	case s.Spread() > noisySpread:
+		return fmt.Sprintf("noisy: lowest of %d runs, which differ by up to %.0f %%", s.Runs, 100*s.Spread())
+	case s.Spread() == 0:
+		return fmt.Sprintf("%d equal runs", s.Runs)
+	}
+	return fmt.Sprintf("lowest of %d runs, which differ by up to %.0f %%", s.Runs, 100*s.Spread())
+}
+
+// At returns the value for a size: between the measured sizes by interpolation, and beyond by the growth of the slope.
+func (s *Slope) At(size float64) float64 {
+	p := s.Points
+	last := len(p) - 1
+	switch {
+	case size <= p[0].Size:
+		return p[0].Value
+	case size >= p[last].Size && s.Growth == GrowthFlat:
+		return p[last].Value
+	}
+	i := 1
+	for i < last && p[i].Size < size {
+		i++
+	}
+	position := func(x float64) float64 {
+		if s.Growth == GrowthLog {
+			return math.Log(x)
+		}
+		return x
+	}
+	share := (position(size) - position(p[i-1].Size)) / (position(p[i].Size) - position(p[i-1].Size))
+	return p[i-1].Value + share*(p[i].Value-p[i-1].Value)
+}
+
+// Slopes is the content of the file of slopes.
+type Slopes struct {
+	Slopes []*Slope `yaml:"slopes"`
+	byName map[string]*Slope
+}
+
+// SlopeError reports a slope that is missing or cannot be used.
+type SlopeError struct {
+	Name   string
+	Reason string
+}
+
+func (e *SlopeError) Error() string { return fmt.Sprintf("slope %s: %s", e.Name, e.Reason) }
+
+// Load reads slopes and checks that all those of the model are there. It returns a *SlopeError for a faulty slope.
+func Load(data []byte) (*Slopes, error) {
+	s := &Slopes{byName: make(map[string]*Slope)}
+	if err := yaml.Unmarshal(data, s); err != nil {
+		return nil, errors.Wrap(err, "read slopes")
+	}
+	for _, x := range s.Slopes {
+		if err := x.check(); err != nil {
+			return nil, err
+		}
+		if s.byName[x.Name] != nil {
+			return nil, &SlopeError{Name: x.Name, Reason: "is there twice"}
+		}
+		s.byName[x.Name] = x
+	}
+	for _, name := range modelSlopes {
+		if s.byName[name] == nil {
+			return nil, &SlopeError{Name: name, Reason: "is missing"}
+		}
+	}
+	return s, nil
+}
+
+const minPoints = 3
+
+func (s *Slope) check() error {
+	if len(s.Points) < minPoints {
+		return &SlopeError{Name: s.Name, Reason: fmt.Sprintf("%d sizes, not at least %d", len(s.Points), minPoints)}
+	}
+	for i, p := range s.Points {
+		if i > 0 && p.Size <= s.Points[i-1].Size || p.Highest < p.Value {
+			return &SlopeError{Name: s.Name, Reason: "sizes or values are out of order"}
+		}
+	}
+	if s.Growth != GrowthFlat && s.Growth != GrowthLinear && s.Growth != GrowthLog {
+		return &SlopeError{Name: s.Name, Reason: fmt.Sprintf("unknown growth %q", s.Growth)}
+	}
+	for _, text := range []string{s.Unit, s.Command, s.Seed, s.Version, s.Date} {
+		if text == "" {
+			return &SlopeError{Name: s.Name, Reason: "unit, command, seed, version or date is missing"}
+		}
+	}
+	return nil
+}
+
+// at returns a value of a slope that Load has checked to be there.
+func (s *Slopes) at(name string, size float64) float64 { return s.byName[name].At(size) }
