Compute the load of each role from the measured slopes

Cause: the budgets of a node at the two-year size were not set against measured figures.

Change: core/state/capacity holds the model, cornellb capacity writes its tables and the plot. The benchmark of new tables changed the version that was in force.

--- a/command/root.go
+++ b/command/root.go
@@ -25,6 +25,7 @@
 var subcommands = map[string]func() *cobra.Command{
 	"balancer": newBalancerCommand,
 	"apply":    newApplyCommand,
+	"capacity": newCapacityCommand,
 	"check":    newCheckCommand,
 	"get":      newGetCommand,
 	"status":   newStatusCommand,
--- a/core/coordination/balancer/bench_test.go
+++ b/core/coordination/balancer/bench_test.go
@@ -136,10 +136,12 @@
 			}
 		})
 		b.Run(fmt.Sprintf("tables/%d", endpoints), func(b *testing.B) {
-			index := benchTables(endpoints, x.Version())
+			index := benchTables(endpoints, 0)
 			for b.Loop() {
-				index.Tables.Version++
-				if !x.SetTables(index) {
+				next, tables := *index, *index.Tables // the version in force must not change
+				tables.Version = x.Version() + 1
+				next.Tables = &tables
+				if !x.SetTables(&next) {
 					b.Fatal("the tables were not taken")
 				}
 			}
--- /dev/null
+++ b/core/state/capacity/capacity_test.go
@@ -0,0 +1,53 @@
+package capacity
+
+import (
+	"math"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// TestAt guards against slopes that are continued in another way than the page says.
+func TestAt(t *testing.T) {
+	points := []Point{{Size: 10, Value: 1}, {Size: 100, Value: 2}, {Size: 1000, Value: 4}}
+	for name, test := range map[string]struct {
+		growth Growth
+		size   float64
+		want   float64
+	}{
+		"below":              {GrowthLinear, 1, 1},
+		"measured":           {GrowthLinear, 100, 2},
+		"between":            {GrowthLinear, 55, 1.5},
+		"linear beyond":      {GrowthLinear, 1900, 6},
+		"logarithmic beyond": {GrowthLog, 10_000, 6},
+		"between logarithms": {GrowthLog, math.Sqrt(1000), 1.5},
+		"flat beyond":        {GrowthFlat, 1e6, 4},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := &Slope{Points: points, Growth: test.growth}
+			is.New(t).True(math.Abs(s.At(test.size)-test.want) < 1e-9)
+		})
+	}
+}
+
+// TestCarriesUpTo guards against a limit of the fleet that is not the size at which the value crosses its budget.
+func TestCarriesUpTo(t *testing.T) {
+	is := is.New(t)
+	s, f := &Slopes{}, TwoYears()
+	carries := func(budget float64) string {
+		return s.carriesUpTo(f, &Row{Budget: budget, value: func(m *model) float64 { return m.Balancers }})
+	}
+	is.Equal(carries(3000), "3,000")
+	is.Equal(carries(1e9), "over 48,000")
+	is.Equal(carries(0.5), "none")
+}
+
+// TestNumber guards against figures with a wrong magnitude.
+func TestNumber(t *testing.T) {
+	for want, v := range map[string]float64{
+		"0": 0, "0.0123": 0.01234, "12.3": 12.34, "123": 123.4, "1,230": 1234, "190,000,000": 190e6, "-1,230": -1234,
+		"1,000": 999.9,
+	} {
+		is.New(t).Equal(number(v), want)
+	}
+}
--- a/core/state/capacity/slopes.go
+++ b/core/state/capacity/slopes.go
@@ -167,6 +167,3 @@
 	}
 	return nil
 }
-
-// at returns a value of a slope that Load has checked to be there.
-func (s *Slopes) at(name string, size float64) float64 { return s.byName[name].At(size) }
