--- a/core/coordination/balancer/peers_test.go
+++ b/core/coordination/balancer/peers_test.go
@@ -121,10 +121,27 @@
 		delete(s.running, key)
 		if l.server == s && l.epoch == epoch {
 			l.reply(&packet.Backend{Kind: packet.BackendAnswer, Attempt: m.Attempt, Payload: answerTo(m.Payload)})
+			s.confuse(l, m.Attempt)
 		}
 	})
 }
 
+// confuse sends a second answer, and one to an attempt of another backend server, now and then. Both must be dropped.
+func (s *backendServer) confuse(l *link, attempt uint64) {
+	if s.w.random.IntN(20) > 0 {
+		return
+	}
+	wrong := []byte("answer to nobody")
+	l.reply(&packet.Backend{Kind: packet.BackendAnswer, Attempt: attempt, Payload: wrong})
+	for _, other := range s.w.backends {
+		for key := range other.running {
+			if other != s && key.l.n == l.n {
+				l.reply(&packet.Backend{Kind: packet.BackendAnswer, Attempt: key.attempt, Payload: wrong})
+			}
+		}
+	}
+}
+
 // leavingBound is the stated time after which a leaving backend server receives no new work.
 const leavingBound = 3 * time.Second
 
--- a/core/coordination/balancer/scripted_test.go
+++ b/core/coordination/balancer/scripted_test.go
@@ -131,6 +131,33 @@
 	is.Equal(f.faults, nil)
 }
 
+// Requests that arrive everywhere while their flow is being handed over must run once, at one of the two owners, and
+// must not end as unknown: neither owner is lost.
+func TestRequestsDuringHandoverRunOnce(t *testing.T) {
+	is := is.New(t)
+	f := newRandomFleet(18)
+	f.handover = 300 * time.Millisecond
+	s := f.addScript(serviceAddress)
+	s.open(is)
+	f.drain(f.ownerOf(s.ticket))
+	for r := uint64(1); r <= 30; r++ {
+		request := s.edit(r, 2*time.Second)
+		for range 8 {
+			for _, n := range f.nodes {
+				s.sendTo(n, serviceAddress, request)
+			}
+			f.run(20 * time.Millisecond)
+		}
+	}
+	f.run(2 * time.Second)
+	for r := uint64(1); r <= 30; r++ {
+		is.True(f.runs[fmt.Sprintf("edit-%d", r)] <= 1)
+		is.True(!s.outcomes(r)[packet.KindUnknown])
+	}
+	is.Equal(f.runs["edit-30"], 1) // the new owner runs requests
+	is.Equal(f.faults, nil)
+}
+
 // A balancer that resumes after every timeout with a request in its sockets must not run it again elsewhere or twice.
 func TestPausedOwnerRunsOnce(t *testing.T) {
 	is := is.New(t)
