Add tests with real processes under failure

Cause: the promises of the design under failure were shown only by a demo. Change: a fleet of processes on loopback, and tests for properties 1, 5, 6, 7 and 8.

--- /dev/null
+++ b/test/process/once_test.go
@@ -0,0 +1,74 @@
+package process_test
+
+import (
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"cornellb/standin/caller"
+)
+
+const (
+	// shortTimeout lets requests run into their deadline during a pause.
+	shortTimeout = 2 * time.Second
+	// pauseTime exceeds every timeout that the fleet knows: of requests, of calls between balancers, and the 4 s after
+	// which a silent balancer counts as dead.
+	pauseTime = 8 * time.Second
+	// lateTime is the time after the last outcome in which nothing may run any more. It exceeds the request timeout and
+	// the time in which a balancer counts as dead.
+	lateTime = 5 * time.Second
+)
+
+// TestAtMostOnce guards against requests that run twice, or that run although they were reported as not run, when the
+// balancer that holds them is lost, paused, cut off or replaced.
+func TestAtMostOnce(t *testing.T) {
+	cases := map[string]func(f *fleet, owner *balancer){
+		"killed": func(_ *fleet, owner *balancer) { owner.process.kill() },
+		"killed and replaced": func(f *fleet, owner *balancer) {
+			owner.process.kill()
+			f.startBalancer(owner)
+			f.awaitReady(owner)
+		},
+		"paused and continued": func(_ *fleet, owner *balancer) {
+			owner.process.signal(syscall.SIGSTOP)
+			time.Sleep(pauseTime)
+			owner.process.signal(syscall.SIGCONT)
+		},
+		"cut off from the fabric": func(f *fleet, owner *balancer) {
+			f.post(f.fabric + "/cut?balancer=" + owner.caller)
+			time.Sleep(pauseTime / 2)
+			f.post(f.fabric + "/heal?balancer=" + owner.caller)
+		},
+		"paused while another one is killed": func(f *fleet, owner *balancer) {
+			owner.process.signal(syscall.SIGSTOP)
+			for _, b := range f.balancers {
+				if b != owner {
+					b.process.kill()
+					f.startBalancer(b)
+					break
+				}
+			}
+			time.Sleep(pauseTime)
+			owner.process.signal(syscall.SIGCONT)
+		},
+	}
+	for name, fail := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			// Long service times, so that requests are in progress whenever the failure comes.
+			f := startFleet(t, options{serviceTime: 150 * time.Millisecond})
+			load := f.startLoad(caller.Config{Timeout: shortTimeout, IdempotentShare: 0.2})
+			owner := f.owner(reminders)
+			fail(f, owner)
+			f.awaitService()
+			r := load.stop(t)
+			f.judge(r)
+			time.Sleep(lateTime)
+			f.judge(r)
+			is.True(len(r.Requests) > 0)
+		})
+	}
+}
--- /dev/null
+++ b/test/process/planned_test.go
@@ -0,0 +1,202 @@
+package process_test
+
+import (
+	"context"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+
+	"cornellb/core/state/packet"
+	"cornellb/core/state/table"
+	"cornellb/io/transport/client"
+	"cornellb/standin/caller"
+	"cornellb/standin/content"
+)
+
+// patientTimeout is long enough that no request in progress runs into its deadline, so that an unknown outcome can only
+// come from the change.
+const patientTimeout = 20 * time.Second
+
+// judgePlanned requires that a planned change broke nothing: every request has a known outcome and every flow survives.
+func (f *fleet) judgePlanned(r *caller.Result) {
+	f.t.Helper()
+	is := is.New(f.t)
+	f.judge(r)
+	is.Equal(len(r.Unknown), 0) // a planned change must not cut off requests
+	is.Equal(r.BrokenFlows, 0)  // a planned change must not break flows
+}
+
+// TestRollingReplacement guards against a graceful shutdown that cuts off requests, breaks a feed or does not end, and
+// against a replacement under the same ID and addresses that is mistaken for the process before it.
+func TestRollingReplacement(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t, options{})
+	feeds := f.openFeeds(6)
+	load := f.startLoad(caller.Config{Timeout: patientTimeout})
+	for _, b := range f.balancers {
+		f.drain(b)
+		f.startBalancer(b)
+		f.awaitReady(b)
+		feeds.awaitProgress()
+	}
+	f.awaitService()
+	f.judgePlanned(load.stop(t))
+}
+
+// TestTableChanges guards against feeds and requests that do not survive edits of the tables and leaving backend
+// servers, alone and together with a leaving balancer.
+func TestTableChanges(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t, options{})
+	feeds := f.openFeeds(6)
+	load := f.startLoad(caller.Config{Timeout: patientTimeout})
+	first, third := f.servers[0], f.servers[2]
+	added := f.addServer(reminders, domains[2])
+	f.awaitStandins()
+	f.changeAndWatch(feeds, "backend server added", func() {
+		f.apply(func(t *table.Tables) {
+			p := poolOf(t, reminders)
+			p.Endpoints = append(p.Endpoints, added.endpoint())
+		})
+	})
+	f.changeAndWatch(feeds, "backend server drained", func() {
+		f.apply(func(t *table.Tables) { poolOf(t, reminders).Endpoints[0].Leaving = true })
+	})
+	f.awaitNoFeeds(first)
+	f.changeAndWatch(feeds, "backend server removed, pool resized", func() {
+		f.apply(func(t *table.Tables) {
+			p := poolOf(t, reminders)
+			p.Endpoints = slices.Delete(p.Endpoints, 0, 1)
+			p.Endpoints[0].Slots--
+		})
+		f.end(first)
+	})
+	f.changeAndWatch(feeds, "backend server leaves while a balancer drains", func() {
+		f.post(third.control + "/leaving?on=true")
+		f.drain(f.owner(reminders))
+	})
+	f.changeAndWatch(feeds, "route edited while a balancer drains", func() {
+		f.apply(func(t *table.Tables) {
+			p := *poolOf(t, reminders)
+			p.Name = "reminders-new"
+			t.Pools[0] = p
+			t.Routes[0].Pool = p.Name
+		})
+		f.drain(f.owner(reminders))
+	})
+	f.awaitService()
+	f.judgePlanned(load.stop(t))
+}
+
+func (f *fleet) changeAndWatch(s *feeds, name string, change func()) {
+	f.t.Helper()
+	f.t.Log(name)
+	change()
+	f.awaitVersion(f.tables.Version)
+	s.awaitProgress()
+}
+
+// awaitNoFeeds waits until a backend server sends no more items, although all feeds go on.
+func (f *fleet) awaitNoFeeds(s *server) {
+	f.t.Helper()
+	eventually(f.t, outcomeLimit, "feeds have left the server", func() error {
+		before, err := s.report()
+		if err != nil {
+			return err
+		}
+		time.Sleep(20 * feedInterval)
+		after, err := s.report()
+		if err == nil && after.Items != before.Items {
+			err = errors.New("it still sends items")
+		}
+		return err
+	})
+}
+
+// TestDrainLimit guards against a shutdown that waits for a request without end, reports a running request as not run,
+// or drops the feed of its flow.
+func TestDrainLimit(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := startFleet(t, options{drainLimit: 3 * time.Second, bulkTime: time.Minute})
+	flow := f.openFlow(packet.ClassBulk)
+	feeds := f.followFeeds(flow)
+	q := content.Request{ID: "long", Service: reminders, Size: 10}
+	outcome := make(chan error, 1)
+	go func() {
+		_, err := flow.Do(context.Background(), client.Request{Payload: q.Append(nil), Timeout: 25 * time.Second})
+		outcome <- err
+	}()
+	b := f.owner(reminders)
+	f.drain(b)
+	err := <-outcome
+	var unknown *client.UnknownError
+	if !errors.As(err, &unknown) || unknown.Cause != nil {
+		t.Errorf("outcome of the long request: %v, want one that a balancer reported as unknown", err)
+	}
+	feeds.awaitProgress()
+	f.startBalancer(b)
+	f.awaitReady(b)
+	feeds.awaitProgress()
+	is.Equal(f.executions(q.ID), 1)
+}
+
+// executions returns the number of times that a request was started.
+func (f *fleet) executions(id string) (n int) {
+	f.t.Helper()
+	for _, s := range f.servers {
+		r, err := s.report()
+		if err != nil {
+			f.t.Fatal(err)
+		}
+		n += r.Executions[id]
+	}
+	return n
+}
+
+// TestLeavingServer guards against new work for a backend server that said itself that it leaves, in particular while the
+// platform cannot tell, and from an owner that took over later.
+func TestLeavingServer(t *testing.T) {
+	dead := func(f *fleet) { f.platforms.kill() }
+	cases := map[string]struct {
+		server int
+		before func(f *fleet)
+		during func(f *fleet)
+	}{
+		"platform alive":                      {server: 0},
+		"platform dead":                       {server: 0, before: dead},
+		"platform dead, alone in its domain":  {server: 2, before: dead},
+		"platform dead, new owner takes over": {server: 0, before: dead, during: func(f *fleet) { f.drain(f.owner(reminders)) }},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := startFleet(t, options{})
+			feeds := f.openFeeds(6)
+			load := f.startLoad(caller.Config{Timeout: patientTimeout})
+			s := f.servers[c.server]
+			eventually(t, outcomeLimit, "work for the server", func() error {
+				r, err := s.report()
+				if err == nil && r.Started == 0 {
+					err = errors.New("nothing started")
+				}
+				return err
+			})
+			if c.before != nil {
+				c.before(f)
+			}
+			f.post(s.control + "/leaving?on=true")
+			time.Sleep(3 * time.Second) // the limit of property 6
+			if c.during != nil {
+				c.during(f)
+			}
+			feeds.awaitProgress()
+			f.awaitNoFeeds(s)
+			f.awaitService()
+			f.judgePlanned(load.stop(t)) // the server counts work that came later than 3 s
+		})
+	}
+}
