Share connections to endpoints among the local shards

Change: a connection stays until the last local shard forgets it, and a new shard learns of a standing one; leaving marks of the host list are taken back when the list drops them.

--- a/core/coordination/balancer/balancer.go
+++ b/core/coordination/balancer/balancer.go
@@ -67,6 +67,7 @@
 	config Config
 	clock  Clock
 	out    Outputs
+	links  *links
 	plan   atomic.Pointer[routing.Plan]
 	serial atomic.Uint64
 
@@ -110,6 +111,7 @@
 		config:   config,
 		clock:    clock,
 		out:      out,
+		links:    newLinks(out.Backend),
 		shards:   make(map[flow.ShardKey]*dispatch.Shard),
 		byNumber: make(map[uint64]*dispatch.Shard),
 		received: make(map[handoverStream]uint64),
@@ -231,10 +233,14 @@
 }
 
 func (b *Balancer) setEndpoints(now time.Time, sh *dispatch.Shard, endpoints []table.Endpoint) {
-	sh.SetEndpoints(now, endpoints)
+	for _, a := range sh.SetEndpoints(now, endpoints) {
+		if up := b.links.upOf(a); up != nil { // another shard has the connection already
+			sh.BackendUp(now, a, up.service, up.incarnation, up.busy, up.leaving)
+		}
+	}
 	for _, e := range endpoints {
 		if b.leaving[e.Address] {
-			sh.MarkLeaving(now, e.Address)
+			sh.MarkLeaving(now, e.Address, true)
 		}
 	}
 }
@@ -255,7 +261,7 @@
 	b.number++
 	random := rand.New(rand.NewPCG(b.random.Uint64(), b.number))
 	sh := dispatch.NewShard(key, service, b.number, b.self, &b.serial, b.config.Dispatch, random, dispatch.Outputs{
-		Caller: b.out.Caller, Backend: b.out.Backend, Handover: b.out.Handover, Tickets: b.out.Tickets,
+		Caller: b.out.Caller, Backend: shardLinks{b.links, b.number}, Handover: b.out.Handover, Tickets: b.out.Tickets,
 		Recorder: b.out.Recorder,
 	})
 	b.shards[key] = sh
@@ -268,15 +274,25 @@
 	now := b.clock.Now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	before := maps.Clone(b.leaving)
 	clear(b.leaving)
 	for _, a := range addresses {
 		b.leaving[a] = true
-		for _, sh := range b.shards {
-			sh.MarkLeaving(now, a)
+		b.markLeaving(now, a, true)
+	}
+	for a := range before {
+		if !b.leaving[a] {
+			b.markLeaving(now, a, false)
 		}
 	}
 }
 
+func (b *Balancer) markLeaving(now time.Time, a netip.AddrPort, leaving bool) {
+	for _, sh := range b.shards {
+		sh.MarkLeaving(now, a, leaving)
+	}
+}
+
 // Tick runs everything that depends on time alone. Call it every 50 ms or so.
 func (b *Balancer) Tick() {
 	now := b.clock.Now()
--- a/core/coordination/balancer/events.go
+++ b/core/coordination/balancer/events.go
@@ -97,6 +97,7 @@
 // BackendUp tells that a connection to an endpoint stands and that its backend server has confirmed the service.
 func (b *Balancer) BackendUp(address netip.AddrPort, service string, incarnation uint64, busy int, leaving bool) {
 	now := b.clock.Now()
+	b.links.setUp(address, &linkUp{service, incarnation, busy, leaving})
 	for _, sh := range b.localShards() {
 		sh.BackendUp(now, address, service, incarnation, busy, leaving)
 	}
@@ -105,6 +106,7 @@
 // BackendDown tells that the connection to an endpoint broke. The frames in unsent were not passed to the kernel.
 func (b *Balancer) BackendDown(address netip.AddrPort, unsent []*packet.Backend) {
 	now := b.clock.Now()
+	b.links.setUp(address, nil)
 	for _, sh := range b.localShards() {
 		sh.BackendDown(now, address, unsent)
 	}
