--- a/command/root.go
+++ b/command/root.go
@@ -29,6 +29,7 @@
 var subcommands = map[string]func() *cobra.Command{
 	"balancer": newBalancerCommand,
 	"apply":    newApplyCommand,
+	"capacity": newCapacityCommand,
 	"check":    newCheckCommand,
 	"get":      newGetCommand,
 	"status":   newStatusCommand,
--- a/core/coordination/balancer/failures_test.go
+++ b/core/coordination/balancer/failures_test.go
@@ -207,6 +207,13 @@
 		i := f.random.IntN(len(p.Endpoints))
 		s := f.backends[p.Endpoints[i].Address]
 		p.Endpoints[i].Leaving = true
+		if s != nil {
+			f.after(8*time.Second, func() { // drained and stopped
+				if f.backends[s.address] == s {
+					s.kill()
+				}
+			})
+		}
 		if s != nil && f.random.IntN(2) == 0 { // the backend server says so itself as well
 			s.leaving, s.leftAt = true, f.now
 		}
--- a/core/coordination/balancer/world_test.go
+++ b/core/coordination/balancer/world_test.go
@@ -33,6 +33,7 @@
 	tables   *table.Tables
 	version  uint64
 	loss     float64
+	handover time.Duration      // added to the delay of handovers
 	cut      map[[2]string]bool // pairs of failure domains without a path
 	runs     map[string]int     // executions by request ID
 	work     map[netip.AddrPort]int
@@ -322,7 +323,8 @@
 
 // SendHandover implements dispatch.HandoverSender. The message or its confirmation may be lost, or come late.
 func (n *node) SendHandover(to member.Host, h *flow.Handover) {
-	n.w.toPeer(n, to, n.w.datagram, func(peer *node) {
+	delayed := func(run func()) { n.w.after(n.w.handover, func() { n.w.datagram(run) }) }
+	n.w.toPeer(n, to, delayed, func(peer *node) {
 		err := peer.b.HandleHandover(h)
 		n.w.toPeer(peer, n.host, n.w.datagram, func(sender *node) { sender.b.HandoverDone(h, err) })
 	})
