Send a change of the tables as the difference from the version in force

Change: a balancer asks with the digest of its head; a peer that had this version in force among its last eight answers with patches (flate with the old content as dictionary). Otherwise, and with a peer of an older release, the whole exchange is used, now compressed.

--- a/core/coordination/configuration/configuration.go
+++ b/core/coordination/configuration/configuration.go
@@ -63,7 +63,8 @@
 	head     *table.Head
 	encoded  table.Digest // digest of the encoded head in force
 	index    *table.Index
-	segments map[table.Digest]*table.Segment
+	segments map[table.Digest]*table.Segment // replaced as a whole, never changed
+	history  []*Base                         // former versions in force, oldest first
 	refused  []RefusedVersion
 	peers    peerVersions
 	counters Counters
--- a/core/coordination/configuration/offer.go
+++ b/core/coordination/configuration/offer.go
@@ -167,6 +167,7 @@
 		s.loadedAt = now
 	}
 	before := s.version()
+	s.remember()
 	s.head, s.encoded, s.segments, s.index = h, d, segments, x
 	s.counters.InForce++
 	s.peers.drop(h.Version)
--- a/io/protocol/wire/peer/bench_test.go
+++ b/io/protocol/wire/peer/bench_test.go
@@ -1,8 +1,6 @@
 package peer
 
 import (
-	"bytes"
-	"compress/flate"
 	"fmt"
 	"net/netip"
 	"testing"
@@ -78,64 +76,67 @@
 }
 
 // BenchmarkTablesExchange counts the bytes of the exchange in which a member fetches one change of one endpoint from a
-// peer: the request and the reply as the product sends them.
+// peer: with all digests and whole segments (request and reply, the latter also compressed), and as a difference from the
+// version in force. It also counts the whole tables, which a joining process fetches.
 func BenchmarkTablesExchange(b *testing.B) {
 	for _, endpoints := range []int{1_000, 10_000, 130_000} {
 		b.Run(fmt.Sprint(endpoints), func(b *testing.B) {
-			request, reply := tablesExchange(b, endpoints)
-			b.ReportMetric(float64(proto.Size(request)), "request-bytes")
-			b.ReportMetric(float64(proto.Size(reply)), "reply-bytes")
-			encoded, err := proto.Marshal(reply)
-			is.New(b).NoErr(err)
-			b.ReportMetric(float64(deflated(b, encoded)), "reply-flate-bytes")
+			is := is.New(b)
+			before, after := changedTables(is, benchTables(endpoints), table.ChangeLimit)
+			peer := stateOf(is, before, after)
+			head, segments := peer.Answer(before.head.Digests())
+			is.Equal(len(segments), 1)
+			request := &TablesRequest{HaveVersion: 1}
+			for _, d := range before.head.Digests() {
+				request.Have = append(request.Have, string(d))
+			}
+			compressed := func(head *table.Head, segments []*table.Segment) *TablesReply {
+				x, err := replyOf(is, head, segments).Compress()
+				is.NoErr(err)
+				return x
+			}
+			change, err := NewTablesChangeReply(peer.ChangeSince(before.digest(is)))
+			is.NoErr(err)
+			asked := &TablesChangeRequest{Base: string(before.digest(is))}
+			for name, size := range map[string]int{
+				"request-bytes":        proto.Size(&Request{Body: &Request_Tables{Tables: request}}),
+				"reply-bytes":          proto.Size(&Reply{Body: &Reply_Tables{Tables: replyOf(is, head, segments)}}),
+				"reply-flate-bytes":    proto.Size(&Reply{Body: &Reply_Tables{Tables: compressed(head, segments)}}),
+				"change-request-bytes": proto.Size(&Request{Body: &Request_TablesChange{TablesChange: asked}}),
+				"change-reply-bytes":   proto.Size(&Reply{Body: &Reply_TablesChange{TablesChange: change}}),
+				"whole-bytes":          proto.Size(&Reply{Body: &Reply_Tables{Tables: replyOf(is, head, after.segments)}}),
+				"whole-flate-bytes":    proto.Size(&Reply{Body: &Reply_Tables{Tables: compressed(head, after.segments)}}),
+			} {
+				b.ReportMetric(float64(size), name)
+			}
 			b.ReportMetric(0, "ns/op")
 		})
 	}
 }
 
-func deflated(b *testing.B, data []byte) int {
-	var out bytes.Buffer
-	w, err := flate.NewWriter(&out, flate.DefaultCompression)
-	is.New(b).NoErr(err)
-	_, err = w.Write(data)
-	is.New(b).NoErr(err)
-	is.New(b).NoErr(w.Close())
-	return out.Len()
-}
-
-// tablesExchange builds tables with a head that is full of changes and the messages that carry the next change.
-func tablesExchange(b *testing.B, endpoints int) (*Request, *Reply) {
-	is := is.New(b)
-	t := benchTables(endpoints)
-	before, _, err := table.Split(t)
-	is.NoErr(err)
-	t.Pools[0].Endpoints[0].Slots++
-	after, segments, err := table.Split(t)
-	is.NoErr(err)
-	for i := range table.ChangeLimit {
-		after.Version = uint64(i + 1)
-		after.Append(after, table.Change{
-			ID: fmt.Sprintf("%032x", uint64(i)*0x9e3779b97f4a7c15), Operator: "operator@example.org",
-			Time: time.Unix(1_796_380_000+int64(i), 0).UTC(),
+// BenchmarkTablesChange measures the work of a difference at the peer that makes it, once for each version, and at the
+// member that applies it.
+func BenchmarkTablesChange(b *testing.B) {
+	for _, endpoints := range []int{1_000, 10_000, 130_000} {
+		is := is.New(b)
+		before, after := changedTables(is, benchTables(endpoints), table.ChangeLimit)
+		change := stateOf(is, before, after).ChangeSince(before.digest(is))
+		base := stateOf(is, before).Base()
+		x, err := NewTablesChangeReply(change)
+		is.NoErr(err)
+		b.Run(fmt.Sprintf("make/%d", endpoints), func(b *testing.B) {
+			for b.Loop() {
+				_, err := NewTablesChangeReply(change)
+				is.NoErr(err)
+			}
+		})
+		b.Run(fmt.Sprintf("apply/%d", endpoints), func(b *testing.B) {
+			for b.Loop() {
+				_, _, err := x.Apply(base)
+				is.NoErr(err)
+			}
 		})
 	}
-	have := before.Digests()
-	known := make(map[table.Digest]bool)
-	request := &TablesRequest{HaveVersion: 1}
-	for _, d := range have {
-		known[d] = true
-		request.Have = append(request.Have, string(d))
-	}
-	encoded, err := after.Encode()
-	is.NoErr(err)
-	reply := &TablesReply{Head: encoded, Segments: make(map[string][]byte)}
-	for _, s := range segments {
-		if !known[s.Digest] {
-			reply.Segments[string(s.Digest)] = s.Data
-		}
-	}
-	is.Equal(len(reply.Segments), 1)
-	return &Request{Body: &Request_Tables{Tables: request}}, &Reply{Body: &Reply_Tables{Tables: reply}}
 }
 
 func benchTables(endpoints int) *table.Tables {
--- a/io/transport/host/events.go
+++ b/io/transport/host/events.go
@@ -142,30 +142,64 @@
 func (h *Host) fetchTables(from member.Host, have []table.Digest) error {
 	ctx, cancel := context.WithTimeout(h.ctx, callTimeout)
 	defer cancel()
-	request := &peerwire.TablesRequest{HaveVersion: h.tables.Version()}
+	source := configuration.Source{Peer: from.Incarnation}
+	if head, segments, ok := h.fetchChange(ctx, from); ok {
+		return h.tables.Offer(source, head, segments)
+	}
+	head, segments, err := h.fetchWhole(ctx, from, have)
+	if err != nil {
+		return err
+	}
+	return h.tables.Offer(source, head, segments)
+}
+
+// fetchChange asks for the difference from the tables in force. It reports false if a peer does not know them, is of an
+// older release without this request, or sends a difference that can't be used.
+func (h *Host) fetchChange(ctx context.Context, from member.Host) (*table.Head, []*table.Segment, bool) {
+	base := h.tables.Base()
+	if base == nil {
+		return nil, nil, false
+	}
+	request := &peerwire.TablesChangeRequest{Base: string(base.Digest)}
+	reply, err := h.peer.FetchTablesChange(ctx, from.Address, request)
+	if err != nil || !reply.GetIsKnown() {
+		return nil, nil, false
+	}
+	head, segments, err := reply.Apply(base)
+	if err != nil {
+		h.metrics.Count(metric.Dropped, "tables_change", 1)
+		return nil, nil, false
+	}
+	return head, segments, true
+}
+
+func (h *Host) fetchWhole(
+	ctx context.Context, from member.Host, have []table.Digest,
+) (*table.Head, []*table.Segment, error) {
+	request := &peerwire.TablesRequest{HaveVersion: h.tables.Version(), AcceptsFlate: true}
 	for _, d := range have {
 		request.Have = append(request.Have, string(d))
 	}
 	reply, err := h.peer.FetchTables(ctx, from.Address, request)
 	if err != nil {
-		return err
+		return nil, nil, err
 	}
 	if len(reply.GetHead()) == 0 {
-		return errors.New("peer has no tables")
+		return nil, nil, errors.New("peer has no tables")
 	}
 	head, err := table.DecodeHead(reply.GetHead())
 	if err != nil {
-		return err
+		return nil, nil, err
 	}
 	var segments []*table.Segment
 	for digest, data := range reply.GetSegments() {
 		segment, err := table.ParseSegment(table.Digest(digest), data)
 		if err != nil {
-			return err
+			return nil, nil, err
 		}
 		segments = append(segments, segment)
 	}
-	return h.tables.Offer(configuration.Source{Peer: from.Incarnation}, head, segments)
+	return head, segments, nil
 }
 
 // tablesHandler implements peer.TablesHandler.
@@ -191,6 +225,34 @@
 	return reply, nil
 }
 
+// HandleTablesChange implements peer.TablesHandler. Most peers ask for the same difference, so the last one is kept.
+func (t tablesHandler) HandleTablesChange(
+	_ context.Context, r *peerwire.TablesChangeRequest,
+) (*peerwire.TablesChangeReply, error) {
+	change := t.h.tables.ChangeSince(table.Digest(r.GetBase()))
+	if change == nil {
+		return peerwire.NewTablesChangeReply(nil)
+	}
+	last := &t.h.lastChange
+	last.Lock()
+	defer last.Unlock()
+	if last.reply == nil || last.from != change.From.Digest || last.to != change.To.Digest {
+		reply, err := peerwire.NewTablesChangeReply(change)
+		if err != nil {
+			return nil, err
+		}
+		last.from, last.to, last.reply = change.From.Digest, change.To.Digest, reply
+	}
+	return last.reply, nil
+}
+
+// changeReply is a difference between two versions as sent to peers.
+type changeReply struct {
+	sync.Mutex
+	from, to table.Digest // of the encoded heads
+	reply    *peerwire.TablesChangeReply
+}
+
 // readHosts reads the platform's host list: other balancers are hints for the membership, and backend servers on
 // leaving hosts get no new work. The list lags, so it never overrules what the members know of each other.
 func (h *Host) readHosts() {
--- a/io/transport/host/host.go
+++ b/io/transport/host/host.go
@@ -65,7 +65,8 @@
 	runner   *peer.Runner
 	operator *operator.Server
 
-	draining  atomic.Bool
+	draining   atomic.Bool
+	lastChange changeReply
 	announced uint64 // table version last given to the gossip; used by the ticking goroutine alone
 	ctx       context.Context
 	cancel    context.CancelFunc
--- a/io/transport/peer/call.go
+++ b/io/transport/peer/call.go
@@ -55,10 +55,32 @@
 	if !ok {
 		return nil, t.failed(KindTables, to, StageDecode, errWrongReply)
 	}
-	if err := tables.Tables.Check(); err != nil {
+	x, err := tables.Tables.Expand()
+	if err == nil {
+		err = x.Check()
+	}
+	if err != nil {
 		return nil, t.failed(KindTables, to, StageDecode, err)
 	}
-	return tables.Tables, nil
+	return x, nil
+}
+
+// FetchTablesChange asks a peer for the difference from a base. The error is a *CallError.
+func (t *Transport) FetchTablesChange(
+	ctx context.Context, to netip.AddrPort, r *wire.TablesChangeRequest,
+) (*wire.TablesChangeReply, error) {
+	reply, err := t.call(ctx, to, KindTables, &wire.Request{Body: &wire.Request_TablesChange{TablesChange: r}})
+	if err != nil {
+		return nil, err
+	}
+	change, ok := reply.GetBody().(*wire.Reply_TablesChange)
+	if !ok {
+		return nil, t.failed(KindTables, to, StageDecode, errWrongReply)
+	}
+	if err := change.TablesChange.Check(); err != nil {
+		return nil, t.failed(KindTables, to, StageDecode, err)
+	}
+	return change.TablesChange, nil
 }
 
 // FetchMembers asks a peer for a page of its members. The error is a *CallError.
@@ -177,6 +199,9 @@
 	case *wire.Request_Tables:
 		reply, err := t.tables(ctx, b.Tables)
 		return reply, KindTables, err
+	case *wire.Request_TablesChange:
+		reply, err := t.tablesChange(ctx, b.TablesChange)
+		return reply, KindTables, err
 	case *wire.Request_Members:
 		reply, err := t.members(ctx, b.Members)
 		return reply, KindMembers, err
@@ -204,6 +229,11 @@
 	if err != nil {
 		return nil, err
 	}
+	if x.GetAcceptsFlate() {
+		if r, err = r.Compress(); err != nil {
+			return nil, err
+		}
+	}
 	reply := &wire.Reply{Body: &wire.Reply_Tables{Tables: r}}
 	if size := proto.Size(reply); size > MaxReplyBytes {
 		return nil, &TooLargeError{Bytes: size, Limit: MaxReplyBytes}
@@ -211,6 +241,17 @@
 	return reply, nil
 }
 
+func (t *Transport) tablesChange(ctx context.Context, x *wire.TablesChangeRequest) (*wire.Reply, error) {
+	if err := x.Check(); err != nil {
+		return nil, err
+	}
+	r, err := t.handlers.Tables.HandleTablesChange(ctx, x)
+	if err != nil {
+		return nil, err
+	}
+	return &wire.Reply{Body: &wire.Reply_TablesChange{TablesChange: r}}, nil
+}
+
 func (t *Transport) members(ctx context.Context, x *wire.MembersRequest) (*wire.Reply, error) {
 	r, err := x.Core()
 	if err != nil {
--- a/io/transport/peer/peer_test.go
+++ b/io/transport/peer/peer_test.go
@@ -53,6 +53,10 @@
 	return &wire.TablesReply{Head: []byte("head"), Segments: map[string][]byte{r.Have[0]: []byte("segment")}}, nil
 }
 
+func (p *process) HandleTablesChange(_ context.Context, r *wire.TablesChangeRequest) (*wire.TablesChangeReply, error) {
+	return &wire.TablesChangeReply{IsKnown: r.Base == "base", Digest: r.Base}, nil
+}
+
 func (p *process) SetView(*member.View) {}
 
 func (p *process) OfferTables(_ member.Host, version uint64) {
--- a/io/transport/peer/transport.go
+++ b/io/transport/peer/transport.go
@@ -38,6 +38,7 @@
 // its error is sent to the peer.
 type TablesHandler interface {
 	HandleTables(ctx context.Context, r *wire.TablesRequest) (*wire.TablesReply, error)
+	HandleTablesChange(ctx context.Context, r *wire.TablesChangeRequest) (*wire.TablesChangeReply, error)
 }
 
 // MembersHandler serves member pages. It is called by several goroutines at once. The text of its error is sent to the
