--- a/core/coordination/dispatch/attempts.go
+++ b/core/coordination/dispatch/attempts.go
@@ -1,7 +1,9 @@
 package dispatch
 
 import (
+	"maps"
 	"net/netip"
+	"slices"
 	"time"
 
 	"cornellb/core/coordination/endpoint"
@@ -24,6 +26,9 @@
 
 // dispatch sends waiting requests as long as slots are free.
 func (s *Shard) dispatch(now time.Time) {
+	if s.isCatchingUp(now) {
+		return
+	}
 	for {
 		it, expired := s.queue.Pop(now, s.canRun, s.endpoints.AnyFree())
 		for _, e := range expired {
@@ -49,6 +54,22 @@
 	}
 }
 
+// A process that was stopped may send work to an endpoint that has begun to leave meanwhile. After a gap between two
+// events it first takes in what waits in its sockets.
+const (
+	pauseGap    = time.Second // Tick is called many times in this time
+	catchUpTime = 500 * time.Millisecond
+)
+
+// isCatchingUp reports whether the process was paused a moment ago.
+func (s *Shard) isCatchingUp(now time.Time) bool {
+	if !s.eventAt.IsZero() && now.Sub(s.eventAt) >= pauseGap {
+		s.catchUpTill = now.Add(catchUpTime)
+	}
+	s.eventAt = now
+	return now.Before(s.catchUpTill)
+}
+
 // canRun reports whether an item that is pinned to an endpoint can be sent now. A pin to an endpoint that serves no
 // more is void, so that any free endpoint will do.
 func (s *Shard) canRun(a netip.AddrPort) bool {
@@ -244,7 +265,8 @@
 			notStarted[m.Attempt] = true
 		}
 	}
-	for number, a := range s.attempts {
+	for _, number := range slices.Sorted(maps.Keys(s.attempts)) {
+		a := s.attempts[number]
 		if a.endpoint != address {
 			continue
 		}
@@ -270,7 +292,8 @@
 // expireAttempts settles requests whose deadline has passed, and frees the slots of attempts that the backend server
 // never answered.
 func (s *Shard) expireAttempts(now time.Time) {
-	for number, a := range s.attempts {
+	for _, number := range slices.Sorted(maps.Keys(s.attempts)) {
+		a := s.attempts[number]
 		if now.Before(a.pending.item.Deadline) {
 			continue
 		}
--- a/core/coordination/dispatch/flows.go
+++ b/core/coordination/dispatch/flows.go
@@ -35,6 +35,7 @@
 	feed     *feed
 	lastSeen time.Time
 	sentTo   member.Incarnation // receiver of the flow's handover; 0 without one
+	places   [listCount]int     // places in the lists, from 1; 0 if not in the list
 }
 
 // Origin tells where a packet came from.
@@ -136,6 +137,7 @@
 	f := &flowState{id: id, customer: customer, class: class}
 	f.touch(now, from)
 	s.flows[id] = f
+	s.all.add(f)
 	return f
 }
 
@@ -143,18 +145,37 @@
 	f.lastSeen, f.caller, f.service = now, from.Caller, from.Service
 }
 
-// HandleCaller takes a packet of a ticketed flow. The ticket is authentic and fits the packet's flow and service.
+// HandleHeld takes a packet of a ticketed flow if the shard holds that flow, and reports whether it does. The ticket is
+// authentic and fits the packet's flow and service.
+func (s *Shard) HandleHeld(now time.Time, from Origin, t *flow.Ticket, p *packet.Packet) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f := s.flows[p.Flow]
+	if f == nil {
+		return false
+	}
+	s.handlePacket(now, f, from, t, p)
+	return true
+}
+
+// HandleCaller takes a packet of a ticketed flow. A flow that the shard does not hold is adopted.
 func (s *Shard) HandleCaller(now time.Time, from Origin, t *flow.Ticket, p *packet.Packet) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	f := s.flows[p.Flow]
 	if f == nil {
-		if f = s.adopt(now, from, t, p); f == nil {
-			return
-		}
+		f = s.adopt(now, from, t, p)
 	}
+	if f != nil {
+		s.handlePacket(now, f, from, t, p)
+	}
+}
+
+func (s *Shard) handlePacket(now time.Time, f *flowState, from Origin, t *flow.Ticket, p *packet.Packet) {
 	if f.sentTo != 0 {
-		s.drop("handed_over")
+		// The packet must not overtake the handover: the receiver would take the flow for lost and answer its requests
+		// with unknown. The caller's retransmission follows when the receiver has confirmed.
+		s.drop("handover_pending")
 		return
 	}
 	f.touch(now, from)
@@ -205,9 +226,13 @@
 }
 
 // handlePing answers a keepalive. A caller whose ticket is not the present one gets the present one, and so learns of a
-// new owner before it sends the next non-idempotent request.
+// new owner before it sends the next non-idempotent request. The name of the open feed tells the caller whether it must
+// subscribe again: an owner that adopted the flow does not know its feed.
 func (s *Shard) handlePing(now time.Time, f *flowState, t *flow.Ticket) {
 	reply := &packet.Packet{Kind: packet.KindPong, Flow: f.id}
+	if f.feed != nil {
+		reply.Feed = f.feed.name
+	}
 	if t.Grant != f.grant() || t.Endpoint != f.endpoint || t.Shard != s.key {
 		reply.Ticket = s.ticket(now, f)
 	}
@@ -231,6 +256,7 @@
 	f.window.Each(func(r *flow.Record) { s.releaseAnswer(r) })
 	s.unpin(f)
 	delete(s.flows, f.id)
+	s.all.remove(f)
 }
 
 func (s *Shard) pin(f *flowState, a netip.AddrPort, cause string) {
@@ -253,18 +279,22 @@
 	}
 }
 
-// expireFlows looks at a bounded number of flows. Map iteration starts at a random place, so each flow is met in time.
+// expireFlows looks at a bounded number of flows, and goes on there with the next call.
 func (s *Shard) expireFlows(now time.Time) {
-	scanned := 0
-	for _, f := range s.flows {
-		if scanned++; scanned > expiryScan {
-			return
+	for range min(expiryScan, len(s.all.flows)) {
+		if s.expiryNext >= len(s.all.flows) {
+			s.expiryNext = 0
 		}
+		f := s.all.flows[s.expiryNext]
+		s.expiryNext++
 		if f.feed != nil && now.Sub(f.lastSeen) >= s.config.FeedIdle {
 			s.closeFeed(f, true)
 		}
 		if f.sentTo == 0 && now.Sub(f.lastSeen) >= s.config.FlowIdle && f.window.IsSettled() {
 			s.removeFlow(f)
+			if len(s.all.flows) == 0 {
+				return
+			}
 		}
 	}
 }
--- a/core/coordination/dispatch/shard.go
+++ b/core/coordination/dispatch/shard.go
@@ -132,8 +132,10 @@
 	endpoints   *endpoint.Set
 	budget      *endpoint.RetryBudget
 	flows       map[packet.FlowID]*flowState
-	feeds       map[packet.FlowID]*flowState // flows with an open feed
-	unacked     map[packet.FlowID]*flowState // feeds with items that the caller has not acknowledged
+	all         flowList
+	feeds       flowList
+	unacked     flowList
+	expiryNext  int // place in all where the next scan for idle flows begins
 	attempts    map[uint64]*attempt
 	streams     map[uint64]*flowState
 	queued      map[requestKey]*pending // waiting requests, in the queue or delayed
@@ -146,6 +148,9 @@
 	handover    handoverState
 	createdAt   time.Time               // when the first endpoint was added
 	unlisted    map[netip.AddrPort]bool // endpoints no longer in the tables that still have attempts
+	strandedAt  time.Time               // since when no endpoint is usable; zero while one is
+	eventAt     time.Time               // last event
+	catchUpTill time.Time               // no work is sent before
 	closed      bool                    // no endpoint is left and no new work is taken
 }
 
@@ -174,8 +179,8 @@
 		endpoints: endpoint.New(config.Endpoint, random),
 		budget:    endpoint.NewRetryBudget(config.Retry, random),
 		flows:     make(map[packet.FlowID]*flowState),
-		feeds:     make(map[packet.FlowID]*flowState),
-		unacked:   make(map[packet.FlowID]*flowState),
+		feeds:     flowList{kind: listFeeds},
+		unacked:   flowList{kind: listUnacked},
 		attempts:  make(map[uint64]*attempt),
 		streams:   make(map[uint64]*flowState),
 		queued:    make(map[requestKey]*pending),
@@ -291,6 +296,27 @@
 	s.expireAnswers(now)
 	s.expireFlows(now)
 	s.continueHandover(now)
+	s.watchEndpoints(now)
+}
+
+// strandedTime is the time without a usable endpoint after which a shard's flows should move to another shard. It is
+// longer than a reconnection takes.
+const strandedTime = 2 * time.Second
+
+func (s *Shard) watchEndpoints(now time.Time) {
+	switch {
+	case s.endpoints.AnyUsable():
+		s.strandedAt = time.Time{}
+	case s.strandedAt.IsZero():
+		s.strandedAt = now
+	}
+}
+
+// IsStranded reports whether the shard has had no usable endpoint for some time.
+func (s *Shard) IsStranded(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.strandedAt.IsZero() && now.Sub(s.strandedAt) >= strandedTime
 }
 
 // Load is a summary of a shard for status and tests.
@@ -302,7 +328,7 @@
 func (s *Shard) Load() Load {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return Load{Flows: len(s.flows), Feeds: len(s.feeds), Queued: len(s.queued), InFlight: len(s.attempts)}
+	return Load{Flows: len(s.flows), Feeds: len(s.feeds.flows), Queued: len(s.queued), InFlight: len(s.attempts)}
 }
 
 // IsIdle reports whether nothing is left to finish or to hand over.
--- a/io/transport/host/host.go
+++ b/io/transport/host/host.go
@@ -65,12 +65,15 @@
 	runner   *peer.Runner
 	operator *operator.Server
 
-	draining   atomic.Bool
 	lastChange changeReply
-	announced uint64 // table version last given to the gossip; used by the ticking goroutine alone
-	ctx       context.Context
-	cancel    context.CancelFunc
-	work      sync.WaitGroup
+	draining   atomic.Bool
+	joined     atomic.Bool                 // the core has a membership view
+	latest     atomic.Pointer[member.View] // last view of the gossip
+	joining    joinTimes
+	announced  uint64 // table version last given to the gossip; used by the ticking goroutine alone
+	ctx        context.Context
+	cancel     context.CancelFunc
+	work       sync.WaitGroup
 }
 
 // Start starts a balancer process.
@@ -172,7 +175,7 @@
 	d.MaxFlows = s.MaxFlows
 	d.FlowIdle = s.FlowIdle
 	return balancer.Config{
-		ShardEndpoints: s.ShardEndpoints, PreferLocal: s.PreferLocal, Dispatch: d, Seed: rand.Uint64(),
+		ShardEndpoints: s.ShardEndpoints, Dispatch: d, Seed: rand.Uint64(),
 	}
 }
 
@@ -195,6 +198,7 @@
 			return
 		case <-ticker.C:
 		}
+		h.admitView(time.Now())
 		h.balancer.Tick()
 		h.tables.Tick()
 		if v := h.tables.Version(); v != h.announced {
