Compute the load of the relay with differences and compressed tables

Cause: the model still had the whole exchange of a change.

Change: the slopes of the difference, of its work and of the compressed whole tables; the former exchange stays as a row of its own.

--- a/core/state/capacity/fleet.go
+++ b/core/state/capacity/fleet.go
@@ -78,6 +78,7 @@
 	ticksPerSecond      = 20   // io/transport/host.tickInterval
 	hostListInterval    = 2    // s, io/transport/host.hostListInterval
 	statusInterval      = 5    // s, io/transport/platform.StatusInterval
+	historyLimit        = 8    // former versions, core/coordination/configuration
 	readersPerDomain    = 2    // core/coordination/configuration.ReaderCount
 	versionFanout       = 6    // core/coordination/membership.versionFanout
 	viewSpacing         = 20   // us per member, core/coordination/membership.publish
@@ -122,7 +123,7 @@
 // tableSteps is the time of one change in the tables themselves, in s.
 func (m *model) tableSteps() float64 {
 	sum := 0.0
-	for _, step := range []string{"parse_time", "join_time", "validate_time", "index_time"} {
+	for _, step := range []string{"change_make", "change_apply", "join_time", "validate_time", "index_time"} {
 		sum += m.at(step, m.Endpoints)
 	}
 	return sum / nanos
@@ -145,6 +146,11 @@
 }
 
 func (m *model) tableBytes() float64 {
+	return (m.at("change_request", m.Endpoints) + m.at("change_reply", m.Endpoints)) * m.changeRate()
+}
+
+// plainBytes is the same for whole heads and segments, as before differences were sent.
+func (m *model) plainBytes() float64 {
 	return (m.at("tables_request", m.Endpoints) + m.at("tables_reply", m.Endpoints)) * m.changeRate()
 }
 
@@ -153,11 +159,14 @@
 	return quiet + (m.at("gossip_restarts", m.Balancers)-quiet)*m.eventRate()*restartInterval
 }
 
-// joinBytes is what the full lists and tables of joining processes cost, spread over all nodes and the day.
-func (m *model) joinBytes() float64 {
-	return (m.at("members_list", m.Balancers) + m.at("tables_bytes", m.Endpoints)) * m.eventRate() / m.Balancers
+// joinSize is what one joining process fetches.
+func (m *model) joinSize() float64 {
+	return m.at("members_list", m.Balancers) + m.at("whole_flate", m.Endpoints)
 }
 
+// joinBytes is what joining processes fetch, spread over all nodes and the day.
+func (m *model) joinBytes() float64 { return m.joinSize() * m.eventRate() / m.Balancers }
+
 func (m *model) handoverPerNode() float64 {
 	return m.flowsPerNode() * m.at("handover_bytes", handoverRecords)
 }
@@ -200,10 +209,12 @@
 
 func (m *model) memberMemory() float64 { return m.at("member_memory", m.Balancers) / megabyte }
 
-// tableMemory is the live heap in MB while a change is applied: both versions share their segments.
+// tableMemory is the live heap in MB while a change is applied: both versions share their segments, and
+// the former versions keep those that were replaced.
 func (m *model) tableMemory() float64 {
 	kept := m.at("tables_memory", m.Endpoints) + m.at("layout_memory", m.Endpoints)
-	return (kept + m.at("tables_joined", m.Endpoints) + m.at("layout_memory", m.Endpoints)) / megabyte
+	former := historyLimit * (m.at("tables_memory", m.Endpoints)/m.at("segments", m.Endpoints) + m.at("head_bytes", m.Endpoints))
+	return (kept + former + m.at("tables_joined", m.Endpoints) + m.at("layout_memory", m.Endpoints)) / megabyte
 }
 
 func (m *model) controlMemory() float64 { return garbageShare * (m.memberMemory() + m.tableMemory()) }
--- a/core/state/capacity/moments.go
+++ b/core/state/capacity/moments.go
@@ -43,11 +43,12 @@
 
 func (m *model) backlog() float64 { return m.changeRate() * outage }
 
-// touchedBytes is the size of the segments that the changes of the outage touched.
+// touchedBytes is what a node fetches after the cut: the segments that the changes of the hour touched, compressed, for
+// all of its digests, since no peer remembers its version.
 func (m *model) touchedBytes() float64 {
 	segments := m.at("segments", m.Endpoints)
 	touched := 1 - math.Exp(-m.backlog()/segments)
-	return touched*m.at("tables_bytes", m.Endpoints) + m.at("head_bytes", m.Endpoints)
+	return touched*m.at("whole_flate", m.Endpoints) + m.at("tables_request", m.Endpoints)
 }
 
 func (m *model) cutOff() float64 { return m.Balancers / m.Regions }
@@ -79,12 +80,10 @@
 		(*model).viewsBusy},
 	{momentRejoin, "member lists and tables fetched", megabytes, 0, "at the peers of the settings and of the own domain",
 		func(m *model) float64 {
-			return lostDomainBalancers * (m.at("members_list", m.Balancers) + m.at("tables_bytes", m.Endpoints)) / megabyte
+			return lostDomainBalancers * m.joinSize() / megabyte
 		}},
 	{momentRejoin, "time of one node's list and tables at 4 KB/s", seconds, 0, "the list is paced, the tables are not",
-		func(m *model) float64 {
-			return (m.at("members_list", m.Balancers) + m.at("tables_bytes", m.Endpoints)) / BudgetBytes
-		}},
+		func(m *model) float64 { return m.joinSize() / BudgetBytes }},
 	{momentRejoin, "platform reads if none has tables from a peer first", "calls", 0, "each process also reads the store",
 		func(m *model) float64 { return lostDomainBalancers * m.bootstrapReads() }},
 	{momentRejoin, "time of these reads at the platform's limit", seconds, 0, "callers back off after a refusal",
--- a/core/state/capacity/roles.go
+++ b/core/state/capacity/roles.go
@@ -80,17 +80,17 @@
 		}},
 	{roleReader, "bytes sent: status", bytesPerSec, BudgetBytes, "whole object of the domain at most every 5 s",
 		func(m *model) float64 { return m.at("status_bytes", m.domainMembers()) * m.statusRate() / m.readers() }},
-	{roleRelay, "bytes of one change: request and reply", bytesUnit, 0, "all digests, head and segment",
-		func(m *model) float64 { return m.at("tables_request", m.Endpoints) + m.at("tables_reply", m.Endpoints) }},
+	{roleRelay, "bytes of one change: request and difference", bytesUnit, 0, "patches of head and segment",
+		func(m *model) float64 { return m.at("change_request", m.Endpoints) + m.at("change_reply", m.Endpoints) }},
 	{roleRelay, "bytes sent", bytesPerSec, BudgetBytes, "each node fetches, and on average serves, each change once",
 		(*model).tableBytes},
-	{roleRelay, "the same with flate in place of plain replies", bytesPerSec, BudgetBytes, "not in the product",
+	{roleRelay, "bytes sent if no base is known", bytesPerSec, BudgetBytes, "all digests, compressed head and segment",
 		func(m *model) float64 {
 			return (m.at("tables_request", m.Endpoints) + m.at("tables_reply_flate", m.Endpoints)) * m.changeRate()
 		}},
-	{roleRelay, "the same with flate and without the digests", bytesPerSec, BudgetBytes, "not in the product",
-		func(m *model) float64 { return m.at("tables_reply_flate", m.Endpoints) * m.changeRate() }},
-	{roleRelay, "processor: parse, join, validate, index", percentCore, BudgetCore, "whole tables at each change",
+	{roleRelay, "bytes sent before differences", bytesPerSec, BudgetBytes, "all digests, plain head and segment",
+		(*model).plainBytes},
+	{roleRelay, "processor: difference, join, validate, index", percentCore, BudgetCore, "whole tables at each change",
 		func(m *model) float64 { return 100 * m.tableSteps() * m.changeRate() }},
 	{roleRelay, "processor: pool shards and owners", percentCore, BudgetCore, "whole layout at each change",
 		func(m *model) float64 {
@@ -107,9 +107,7 @@
 	{roleMember, "processor: views and owners", percentCore, BudgetCore, "all owners anew for each view", (*model).viewCore},
 	{roleMember, "live heap of the member list", megabytes, BudgetMemory, "records and one view", (*model).memberMemory},
 	{roleMember, "full list and tables at a join", megabytes, 0, "pages from the own domain first; tables from one peer",
-		func(m *model) float64 {
-			return (m.at("members_list", m.Balancers) + m.at("tables_bytes", m.Endpoints)) / megabyte
-		}},
+		func(m *model) float64 { return m.joinSize() / megabyte }},
 	{roleMember, "the same, mean of the day", bytesPerSec, BudgetBytes, "restarts and replacements", (*model).joinBytes},
 	{rolePlatform, "calls: watches, segments, status, joins", perSecond, LimitReads, "readers and joining processes",
 		func(m *model) float64 { return m.platformReads() - m.hostListReads() }},
--- a/tools/slopes/definitions.go
+++ b/tools/slopes/definitions.go
@@ -166,17 +166,41 @@
 		capacity.KindTime, capacity.GrowthLinear, tables, "BenchmarkChangeSteps/index/{}", "ns/op", "none",
 	},
 	{
-		"tables_request", "request for a change", "bytes", "endpoints",
+		"tables_request", "request with all digests", "bytes", "endpoints",
 		capacity.KindCount, capacity.GrowthLinear, peer, "BenchmarkTablesExchange/{}", "request-bytes", "none",
 	},
 	{
-		"tables_reply", "reply with a change as sent", "bytes", "endpoints",
+		"tables_reply", "reply with head and segment, plain", "bytes", "endpoints",
 		capacity.KindCount, capacity.GrowthLinear, peer, "BenchmarkTablesExchange/{}", "reply-bytes", "none",
 	},
 	{
-		"tables_reply_flate", "reply with a change with flate", "bytes", "endpoints",
+		"tables_reply_flate", "reply with head and segment, with flate", "bytes", "endpoints",
 		capacity.KindCount, capacity.GrowthLinear, peer, "BenchmarkTablesExchange/{}", "reply-flate-bytes", "none",
 	},
+	{
+		"change_request", "request for a difference", "bytes", "endpoints",
+		capacity.KindCount, capacity.GrowthFlat, peer, "BenchmarkTablesExchange/{}", "change-request-bytes", "none",
+	},
+	{
+		"change_reply", "reply with the difference of one change", "bytes", "endpoints",
+		capacity.KindCount, capacity.GrowthLinear, peer, "BenchmarkTablesExchange/{}", "change-reply-bytes", "none",
+	},
+	{
+		"whole_bytes", "reply with all tables, plain", "bytes", "endpoints",
+		capacity.KindCount, capacity.GrowthLinear, peer, "BenchmarkTablesExchange/{}", "whole-bytes", "none",
+	},
+	{
+		"whole_flate", "reply with all tables as sent, with flate", "bytes", "endpoints",
+		capacity.KindCount, capacity.GrowthLinear, peer, "BenchmarkTablesExchange/{}", "whole-flate-bytes", "none",
+	},
+	{
+		"change_make", "making a difference, once for each version", "ns", "endpoints",
+		capacity.KindTime, capacity.GrowthLinear, peer, "BenchmarkTablesChange/make/{}", "ns/op", "none",
+	},
+	{
+		"change_apply", "applying a difference and parsing its segment", "ns", "endpoints",
+		capacity.KindTime, capacity.GrowthLinear, peer, "BenchmarkTablesChange/apply/{}", "ns/op", "none",
+	},
 	{
 		"gossip_quiet", "gossip of a member in a quiet group", "bytes/s", "members",
 		capacity.KindCount, capacity.GrowthLog, membership, "BenchmarkGroup/{}", "quiet_bytes/member/s", "3",
