Test that a change reaches a balancer that is not a reader as a difference

Cause: io/transport/host had no test, and the differences run only there.

Change: four balancers of one failure domain with the platform's stand-in; two of them can have a version from a peer only.

--- /dev/null
+++ b/io/transport/host/tables_test.go
@@ -0,0 +1,123 @@
+package host
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"cornellb/core/state/table"
+	"cornellb/io/protocol/settings"
+	"cornellb/io/transport/peer"
+	"cornellb/io/transport/platform"
+	standin "cornellb/standin/platform"
+)
+
+// patience bounds waits for something that must happen; it does not decide whether a test passes on a slow machine.
+const patience = 30 * time.Second
+
+func freeAddress(is *is.I) string {
+	is.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { is.NoErr(l.Close()) }()
+	return l.Addr().String()
+}
+
+func startHost(t *testing.T, id, platformURL string, peers ...string) *Host {
+	t.Helper()
+	is := is.New(t)
+	s := &settings.Settings{
+		ID: id, FailureDomain: "a", CallerAddress: "127.0.0.1:0", FabricAddress: "127.0.0.1:9", Platform: platformURL,
+		PeerAddress: freeAddress(is), OperatorAddress: "127.0.0.1:0", Peers: peers, RoutingMode: "owner",
+		ShardEndpoints: 32, QueueLimit: 16, MaxFlows: 16, FlowIdle: time.Minute, SlowStartStep: time.Second,
+		ControlBytes: 4096, DrainLimit: time.Second, Weights: settings.Weights{Urgent: 6, Normal: 3, Bulk: 1},
+		TicketKeys: []settings.TicketKey{{ID: 1, Secret: strings.Repeat("ab", 32)}},
+	}
+	h, err := Start(s, slog.New(slog.DiscardHandler))
+	is.NoErr(err)
+	t.Cleanup(h.Close)
+	return h
+}
+
+func manyEndpoints(version uint64) *table.Tables {
+	t := &table.Tables{Version: version, Routes: []table.Route{}}
+	for i := range 100 {
+		name := fmt.Sprintf("pool-%d", i)
+		p := table.Pool{Name: name, Service: name}
+		for k := range 4 {
+			a := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 1, byte(i), byte(k)}), 9)
+			p.Endpoints = append(p.Endpoints, table.Endpoint{Address: a, FailureDomain: "b", Slots: 1, Connections: 1})
+		}
+		t.Pools = append(t.Pools, p)
+	}
+	t.Pools[0].Endpoints[0].Slots += int(version)
+	return t
+}
+
+// TestTablesFromPeer guards against a balancer that is not a reader and gets no tables, or gets whole segments for each
+// change. Two of four balancers are readers; the others can have a version from a peer only.
+func TestTablesFromPeer(t *testing.T) {
+	is := is.New(t)
+	server := standin.New(standin.Settings{})
+	store := httptest.NewServer(server)
+	t.Cleanup(func() { server.Close(); store.Close() })
+	client := platform.NewClient(store.URL, 0, platform.SystemClock{})
+	t.Cleanup(client.Close)
+	number := 0
+	editor := &platform.Editor{Store: client, Clock: platform.SystemClock{}, Operator: "test", NewID: func() string {
+		number++
+		return fmt.Sprint(number)
+	}}
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	apply := func(version uint64) {
+		_, err := editor.Apply(ctx, manyEndpoints(version))
+		is.NoErr(err)
+	}
+	apply(0)
+	first := startHost(t, "host-0", store.URL)
+	hosts := []*Host{first}
+	for i := 1; i < 4; i++ {
+		hosts = append(hosts, startHost(t, fmt.Sprintf("host-%d", i), store.URL, first.settings.PeerAddress))
+	}
+	await := func(isDone func(h *Host) bool) {
+		is.Helper()
+		for _, h := range hosts {
+			for !isDone(h) {
+				is.NoErr(ctx.Err())
+				time.Sleep(5 * time.Millisecond)
+			}
+		}
+	}
+	await(func(h *Host) bool {
+		v := h.latest.Load()
+		return h.tables.Version() == 1 && v != nil && len(v.Hosts) == len(hosts)
+	})
+	var others []*Host
+	for _, h := range hosts {
+		if !h.tables.IsReader() {
+			others = append(others, h)
+		}
+	}
+	is.Equal(len(others), 2)
+	// Each process was a reader while it knew no other one. This change ends the watches that are left of that time.
+	apply(1)
+	await(func(h *Host) bool { return h.tables.Version() == 2 })
+	received := func(h *Host) uint64 { return h.peer.Counters().ReceivedBytes[peer.KindTables] }
+	before := []uint64{received(others[0]), received(others[1])}
+	apply(2)
+	await(func(h *Host) bool { return h.tables.Version() == 3 })
+	for i, h := range others {
+		is.Equal(h.tables.InForce().Tables, first.tables.InForce().Tables)
+		is.True(received(h)-before[i] > 0)
+		is.True(received(h)-before[i] < 4000) // the changed segment alone has more than 20,000 bytes
+	}
+}
