--- a/core/coordination/balancer/balancer.go
+++ b/core/coordination/balancer/balancer.go
@@ -56,7 +56,6 @@
 // Config holds the settings of a balancer.
 type Config struct {
 	ShardEndpoints int // largest number of endpoints in a pool shard
-	PreferLocal    bool
 	Dispatch       dispatch.Config
 	Seed           uint64 // of the random source
 }
--- a/io/transport/host/host.go
+++ b/io/transport/host/host.go
@@ -65,14 +65,15 @@
 	runner   *peer.Runner
 	operator *operator.Server
 
-	draining  atomic.Bool
-	joined    atomic.Bool                 // the core has a membership view
-	latest    atomic.Pointer[member.View] // last view of the gossip
-	joining   joinTimes
-	announced uint64 // table version last given to the gossip; used by the ticking goroutine alone
-	ctx       context.Context
-	cancel    context.CancelFunc
-	work      sync.WaitGroup
+	lastChange changeReply
+	draining   atomic.Bool
+	joined     atomic.Bool                 // the core has a membership view
+	latest     atomic.Pointer[member.View] // last view of the gossip
+	joining    joinTimes
+	announced  uint64 // table version last given to the gossip; used by the ticking goroutine alone
+	ctx        context.Context
+	cancel     context.CancelFunc
+	work       sync.WaitGroup
 }
 
 // Start starts a balancer process.
