Let a process that has not joined stop at once

Cause: a drain before the gossip had started waited for a machine that did not exist, and Close waited for its goroutines while the sockets could still start new ones (found by reading). Change: Drain returns early without gossip; Close closes the sockets first. Result: go vet passes; test/process covers drains.

--- a/io/transport/host/host.go
+++ b/io/transport/host/host.go
@@ -67,6 +67,7 @@
 
 	lastChange changeReply
 	draining   atomic.Bool
+	gossiping  atomic.Bool                 // other members may know of this process
 	joined     atomic.Bool                 // the core has a membership view
 	latest     atomic.Pointer[member.View] // last view of the gossip
 	joining    joinTimes
@@ -143,6 +144,7 @@
 		ID: h.self.ID, FailureDomain: h.self.FailureDomain, Address: h.self.Address, Incarnation: h.self.Incarnation,
 		StartedAt: time.Now(), BytesPerSecond: h.settings.ControlBytes,
 	}, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	h.gossiping.Store(true)
 	h.runner.SetHints(parseAddresses(h.settings.Peers), nil)
 	reader := &platform.Reader{Store: h.client, Core: h.tables, Clock: platform.SystemClock{}, Log: h.log}
 	status := &platform.StatusWriter{Store: h.client, Source: h.tables, Clock: platform.SystemClock{}, Log: h.log}
@@ -215,6 +217,9 @@
 		return nil
 	}
 	h.log.Info("draining", "limit", h.settings.DrainLimit.String())
+	if !h.gossiping.Load() {
+		return nil // no other member knows of this process
+	}
 	h.runner.Leave()
 	limit, cancel := context.WithTimeout(ctx, h.settings.DrainLimit)
 	defer cancel()
@@ -269,10 +274,6 @@
 // Close stops the process without handing anything over.
 func (h *Host) Close() {
 	h.cancel()
-	h.work.Wait()
-	if h.operator != nil {
-		_ = h.operator.Close()
-	}
 	if h.caller != nil {
 		_ = h.caller.Close()
 	}
@@ -285,6 +286,10 @@
 	if h.backend != nil {
 		h.backend.Close()
 	}
+	h.work.Wait() // after the sockets, whose handlers start calls of other balancers
+	if h.operator != nil {
+		_ = h.operator.Close()
+	}
 	if h.client != nil {
 		h.client.Close()
 	}
