Test route edits and renamed pools apart, and pack the process tests better

Cause: feeds of a renamed pool stall, which hid whether an edited route between existing pools works. Change: TestRouteEdit and TestPoolRenamed; tests with cases run in parallel with the others.

--- a/test/process/configuration_test.go
+++ b/test/process/configuration_test.go
@@ -69,6 +69,7 @@
 
 // TestJoinWithoutPlatform guards against a balancer that cannot start, or has no tables, while the platform is down.
 func TestJoinWithoutPlatform(t *testing.T) {
+	t.Parallel()
 	cases := map[string]func(f *fleet){
 		"dead":    func(f *fleet) { f.platforms.kill() },
 		"silent":  func(f *fleet) { f.setFault(platform.Fault{Mode: platform.ModeHang}) },
@@ -100,6 +101,7 @@
 // TestPlatformLosesState guards against balancers that fall back to older tables, or to none, because the platform was
 // restarted with an older state. watchVersions checks during the whole test that no version goes down.
 func TestPlatformLosesState(t *testing.T) {
+	t.Parallel()
 	cases := map[string]bool{"empty": false, "old head": true}
 	for name, isOld := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/test/process/leaving_test.go
+++ b/test/process/leaving_test.go
@@ -15,6 +15,7 @@
 // TestLeavingServer guards against new work for a backend server that said itself that it leaves, in particular while the
 // platform cannot tell, and from an owner that took over later.
 func TestLeavingServer(t *testing.T) {
+	t.Parallel()
 	cases := map[string]struct {
 		isPlatformDead bool
 		isOwnerDrained bool
--- a/test/process/once_test.go
+++ b/test/process/once_test.go
@@ -24,6 +24,7 @@
 // TestAtMostOnce guards against requests that run twice, or that run although they were reported as not run, when the
 // balancer that holds them is lost, paused, cut off or replaced.
 func TestAtMostOnce(t *testing.T) {
+	t.Parallel()
 	cases := map[string]func(f *fleet, owner *balancer){
 		"killed": func(_ *fleet, owner *balancer) { owner.process.kill() },
 		"killed and replaced": func(f *fleet, owner *balancer) {
--- a/test/process/planned_test.go
+++ b/test/process/planned_test.go
@@ -82,9 +82,28 @@
 	f.judgePlanned(load.stop(t))
 }
 
-// TestRouteEdit guards against feeds and requests that stay behind when a route is given another pool, alone and together
-// with a leaving balancer.
+// TestRouteEdit guards against feeds and requests that break when a route is given another pool while a balancer drains.
 func TestRouteEdit(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t, options{})
+	feeds := f.openFeeds(6)
+	load := f.startLoad(caller.Config{Timeout: patientTimeout})
+	f.changeAndWatch(feeds, "pool split, route edited", func() {
+		f.apply(func(t *table.Tables) {
+			p := poolOf(t, reminders)
+			second := table.Pool{Name: "second", Service: reminders, Endpoints: slices.Clone(p.Endpoints[2:])}
+			p.Endpoints = p.Endpoints[:2]
+			t.Pools = append(t.Pools, second)
+			t.Routes[0].Pool = second.Name
+		})
+		f.drain(f.owner("second"))
+	})
+	f.awaitService()
+	f.judgePlanned(load.stop(t))
+}
+
+// TestPoolRenamed guards against feeds and requests that stay behind in a pool that the tables no longer have.
+func TestPoolRenamed(t *testing.T) {
 	t.Parallel()
 	f := startFleet(t, options{})
 	feeds := f.openFeeds(6)
