Measure the policy and its baselines in the simulated world

Cause: the balancer's measured properties (broken flows, imbalance, floods, brown-out) had no run that shows them for both deployments. The fakes get delays between failure domains, callers with a class and a customer, and hooks for outcomes and placements; without them they behave as before.

--- /dev/null
+++ b/core/coordination/balancer/measure_test.go
@@ -0,0 +1,326 @@
+package balancer_test
+
+import (
+	"flag"
+	"fmt"
+	"math"
+	"net/netip"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"gopkg.in/yaml.v3"
+
+	"cornellb/core/coordination/dispatch"
+	"cornellb/core/state/packet"
+	"cornellb/core/state/table"
+)
+
+var (
+	measureFile = flag.String("measure", "", "measure all routing modes and write the table to this file")
+	measureSeed = flag.Uint64("measure.seed", 1, "seed of the measurements")
+)
+
+// result holds the figures of one deployment under one routing mode.
+type result struct {
+	Deployment string             `yaml:"deployment"`
+	Mode       dispatch.Mode      `yaml:"routing_mode"`
+	Figures    map[string]float64 `yaml:"figures"`
+}
+
+// measures fill in the figures of one run each.
+var measures = map[string]func(*result, deployment, uint64){
+	"broken by replacement": func(r *result, d deployment, seed uint64) { measureBroken(r, d, seed, "balancers replaced") },
+	"broken by draining":    func(r *result, d deployment, seed uint64) { measureBroken(r, d, seed, "endpoints drained") },
+	"broken by resizing":    func(r *result, d deployment, seed uint64) { measureBroken(r, d, seed, "pool resized") },
+	"imbalance":             measureImbalance,
+	"flood":                 measureFloods,
+	"brown-out":             measureBrownOut,
+}
+
+// TestMeasure measures the policy. With -measure the baselines are measured as well.
+func TestMeasure(t *testing.T) {
+	modes := []dispatch.Mode{dispatch.ModeOwner}
+	if *measureFile != "" {
+		modes = append(modes, dispatch.ModeHash, dispatch.ModeLeastConnections)
+	}
+	var results []*result
+	t.Run("all", func(t *testing.T) {
+		for _, d := range deployments {
+			for _, mode := range modes {
+				for name, measure := range measures {
+					r := &result{d.name, mode, map[string]float64{}}
+					results = append(results, r)
+					t.Run(fmt.Sprintf("%s/%s/%s", d.name, mode, name), func(t *testing.T) {
+						t.Parallel()
+						measure(r, d, *measureSeed)
+					})
+				}
+			}
+		}
+	})
+	if *measureFile != "" {
+		writeResults(t, merge(results))
+	}
+}
+
+func merge(parts []*result) []*result {
+	var merged []*result
+	for _, p := range parts {
+		i := slices.IndexFunc(merged, func(r *result) bool { return r.Deployment == p.Deployment && r.Mode == p.Mode })
+		if i < 0 {
+			merged = append(merged, p)
+			continue
+		}
+		for name, figure := range p.Figures {
+			merged[i].Figures[name] = figure
+		}
+	}
+	return merged
+}
+
+func writeResults(t *testing.T, results []*result) {
+	for _, r := range results {
+		for name, figure := range r.Figures {
+			r.Figures[name] = math.Round(figure*1000) / 1000
+		}
+	}
+	out, err := yaml.Marshal(map[string]any{"seed": *measureSeed, "results": results})
+	if err != nil {
+		t.Fatal(err)
+	}
+	fmt.Print(string(out))
+	if err := os.WriteFile(*measureFile, out, 0o644); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// measureImbalance compares endpoints of one pool, and customers of equal demand, by the work done for them.
+func measureImbalance(r *result, d deployment, seed uint64) {
+	l := newLoad(newDeployment(d, r.Mode, seed))
+	l.offerUsual(d, 45*time.Second)
+	l.world.run(10 * time.Second) // slow start is over
+	l.work = map[netip.AddrPort]int{}
+	tallies := l.measure(30 * time.Second)
+	for i, p := range l.tables.Pools {
+		var work []float64
+		for _, e := range p.Endpoints {
+			work = append(work, float64(l.work[e.Address]))
+		}
+		r.Figures[fmt.Sprintf("imbalance: endpoints of %d", poolSizes[i])] = maxOverMean(work)
+	}
+	var work []float64
+	for n := range customers {
+		work = append(work, float64(sum(tallies, func(g group) bool { return g.customer == n }).answered))
+	}
+	r.Figures["imbalance: customers"] = maxOverMean(work)
+	all := sum(tallies, func(group) bool { return true })
+	r.Figures["usual demand: goodput"] = all.goodput()
+	r.Figures["usual demand: p99 in ms"] = float64(all.p99().Milliseconds())
+}
+
+// measureFloods compares the other classes during a tenfold flood of one class by one customer with the time before.
+func measureFloods(r *result, d deployment, seed uint64) {
+	for _, flooded := range []packet.Class{packet.ClassBulk, packet.ClassUrgent} {
+		l := newLoad(newDeployment(d, r.Mode, seed))
+		l.offerUsual(d, 60*time.Second)
+		l.world.run(10 * time.Second)
+		before := l.measure(15 * time.Second)
+		rate := capacity(d, 0) * usualDemand * classShares[flooded] * 9
+		l.offer(group{0, flooded, customers}, rate, 18*time.Second)
+		l.world.run(2 * time.Second)
+		during := l.measure(15 * time.Second)
+		kept, slower := 1.0, 0.0
+		for class := range packet.ClassCount {
+			of := func(g group) bool { return g.pool == 0 && g.class == class && g.customer < customers }
+			b, n := sum(before, of), sum(during, of)
+			if class == flooded {
+				r.Figures[fmt.Sprintf("flood of %s: kept by its other customers", flooded)] = n.goodput() / b.goodput()
+				r.Figures[fmt.Sprintf("flood of %s: p99 ratio of its other customers", flooded)] = ratio(n.p99(), b.p99())
+				continue
+			}
+			kept = min(kept, n.goodput()/b.goodput())
+			slower = max(slower, ratio(n.p99(), b.p99()))
+		}
+		r.Figures[fmt.Sprintf("flood of %s: kept", flooded)] = kept
+		r.Figures[fmt.Sprintf("flood of %s: p99 ratio", flooded)] = slower
+	}
+}
+
+func ratio(a, b time.Duration) float64 { return float64(a) / float64(max(1, b)) }
+
+// measureBrownOut slows half of the endpoints of the large pool by ten times for 10 s.
+func measureBrownOut(r *result, d deployment, seed uint64) {
+	l := newLoad(newDeployment(d, r.Mode, seed))
+	l.offerUsual(d, 60*time.Second)
+	l.world.run(10 * time.Second)
+	slow := func(serviceTime time.Duration) {
+		for i, e := range l.tables.Pools[0].Endpoints {
+			if i < poolSizes[0]/2 {
+				l.backends[e.Address].serviceTime = serviceTime
+			}
+		}
+	}
+	fresh, retried := l.total("accepted/"), l.total("retried/")
+	ofPool := func(g group) bool { return g.pool == 0 }
+	slow(10 * meanService)
+	r.Figures["brown-out: goodput"] = sum(l.measure(10*time.Second-requestTimeout), ofPool).goodput()
+	slow(meanService)
+	r.Figures["brown-out: retries per fresh request"] = float64(l.total("retried/")-retried) / float64(l.total("accepted/")-fresh)
+	r.Figures["brown-out: seconds until goodput is back"] = math.Inf(1)
+	const step = 500 * time.Millisecond
+	for at := time.Duration(0); at < 20*time.Second; at += step + requestTimeout {
+		if sum(l.measure(step), ofPool).goodput() >= 0.99 {
+			r.Figures["brown-out: seconds until goodput is back"] = at.Seconds()
+			break
+		}
+	}
+}
+
+// total adds up the counters with a prefix.
+func (w *world) total(prefix string) (n int64) {
+	for name, value := range w.counts {
+		if len(name) > len(prefix) && name[:len(prefix)] == prefix {
+			n += value
+		}
+	}
+	return n
+}
+
+// changes are the planned changes during which no flow may break.
+var changes = map[string]func(*fleet, deployment){
+	"balancers replaced": func(f *fleet, _ deployment) {
+		for _, n := range slices.Clone(f.nodes) {
+			f.next++
+			f.addNode(fmt.Sprintf("balancer-%d", f.next), n.host.FailureDomain)
+			f.views()
+			f.run(3 * time.Second)
+			f.drain(n)
+			f.run(drainLimit)
+			n.kill()
+		}
+	},
+	"endpoints drained": func(f *fleet, d deployment) {
+		for i := range poolSizes[0] {
+			for _, leaving := range []bool{true, false} {
+				f.pool(d.services[0], func(p *table.Pool) { p.Endpoints[i].Leaving = leaving })
+				f.run(4 * time.Second)
+			}
+		}
+	},
+	"pool resized": func(f *fleet, d deployment) {
+		for n := range 4 {
+			e := f.newEndpoint(d, 0, poolSizes[0]+n)
+			f.pool(d.services[0], func(p *table.Pool) { p.Endpoints = append(p.Endpoints, e) })
+			f.run(4 * time.Second)
+		}
+		for range 4 {
+			f.pool(d.services[0], func(p *table.Pool) { p.Endpoints[0].Leaving = true })
+			f.run(5 * time.Second)
+			f.pool(d.services[0], func(p *table.Pool) { p.Endpoints = slices.Delete(p.Endpoints, 0, 1) })
+			f.run(4 * time.Second)
+		}
+	},
+}
+
+// drainLimit is the time after which a draining balancer is ended even if it still has flows.
+const drainLimit = 10 * time.Second
+
+// feedSilence is the time without an item after which a feed counts as interrupted.
+const feedSilence = 3 * time.Second
+
+// flowWatch tells which flows break.
+type flowWatch struct {
+	*load
+	broken map[string]string // cause by flow
+	at     map[string]netip.AddrPort
+	usedAt map[string]time.Time
+	left   map[netip.AddrPort]time.Time // when the tables last listed the endpoint as leaving, or not at all
+
+	refused int // requests that ended as not run; their flows are not broken
+}
+
+func (x *flowWatch) breaks(name, cause string) {
+	if x.broken[name] == "" {
+		x.broken[name] = cause
+	}
+}
+
+// place notes the endpoint of a flow. A move is allowed only away from an endpoint that was leaving since its last use.
+func (x *flowWatch) place(s *backendServer, id string) {
+	name := flowOf(id)
+	if a, ok := x.at[name]; ok && a != s.address && x.left[a].Before(x.usedAt[name]) {
+		x.breaks(name, "moved")
+	}
+	x.at[name], x.usedAt[name] = s.address, x.now
+}
+
+// noteLeaving records which endpoints the tables list as leaving or removed now.
+func (x *flowWatch) noteLeaving() {
+	serving := map[netip.AddrPort]bool{}
+	for _, p := range x.tables.Pools {
+		for _, e := range p.Endpoints {
+			serving[e.Address] = !e.Leaving
+		}
+	}
+	for a := range x.backends {
+		if !serving[a] {
+			x.left[a] = x.now
+		}
+	}
+}
+
+// addFlow starts a flow or a feed that stays open.
+func (x *flowWatch) addFlow(g group, isFeed bool) {
+	c := x.newCaller(g)
+	c.timeout = 3 * time.Second
+	c.settled = func(_ *call, kind packet.Kind) {
+		switch kind {
+		case packet.KindUnknown:
+			x.breaks(c.name, "unknown outcome")
+		case packet.KindNotRun:
+			x.refused++
+		}
+	}
+	if isFeed {
+		c.feed = c.name
+		last, lastAt := uint64(0), x.now
+		x.every(100*time.Millisecond, func() bool {
+			if c.delivered > last {
+				last, lastAt = c.delivered, x.now
+			}
+			if x.now.Sub(lastAt) >= feedSilence {
+				x.breaks(c.name, "silent")
+			}
+			return true
+		})
+	}
+	c.start()
+}
+
+// measureBroken counts the flows that break during a planned change.
+func measureBroken(r *result, d deployment, seed uint64, change string) {
+	x := &flowWatch{load: newLoad(newDeployment(d, r.Mode, seed)), broken: map[string]string{},
+		at: map[string]netip.AddrPort{}, usedAt: map[string]time.Time{}, left: map[netip.AddrPort]time.Time{}}
+	x.world.run(5 * time.Second)
+	x.placed = x.place
+	x.every(10*time.Millisecond, func() bool { x.noteLeaving(); return true })
+	for n := range brokenFlows {
+		x.addFlow(group{n % 5 / 4, packet.Class(n % 3), n % customers}, n%4 == 3)
+	}
+	x.world.run(3 * time.Second)
+	changes[change](x.fleet, d)
+	x.world.run(5 * time.Second)
+	for _, f := range x.faults {
+		x.breaks(f, "fault")
+	}
+	r.Figures["broken: "+change] = float64(len(x.broken))
+	r.Figures["refused requests: "+change] = float64(x.refused)
+	for _, cause := range x.broken {
+		r.Figures["broken: "+change+": "+cause]++
+	}
+}
+
+// brokenFlows is the number of flows during a planned change; a quarter of them are feeds.
+const brokenFlows = 120
--- a/core/coordination/balancer/peers_test.go
+++ b/core/coordination/balancer/peers_test.go
@@ -91,6 +91,9 @@
 	case packet.BackendRun:
 		s.start(l, m)
 	case packet.BackendSubscribe:
+		if s.w.placed != nil {
+			s.w.placed(s, m.Feed)
+		}
 		s.streams = append(s.streams,
 			&stream{l: l, number: m.Stream, feed: m.Feed, next: m.Sequence, acked: m.Sequence - 1})
 	case packet.BackendItemAck:
@@ -114,6 +117,9 @@
 	}
 	s.w.runs[requestID(m.Payload)]++
 	s.w.work[s.address]++
+	if s.w.placed != nil {
+		s.w.placed(s, requestID(m.Payload))
+	}
 	key := attemptKey{l, m.Attempt}
 	s.running[key] = true
 	epoch := l.epoch
@@ -172,6 +178,13 @@
 	buffer    map[uint64][]byte
 	heardAt   time.Time
 	adoptions int // tickets from other owners
+
+	customer string
+	class    packet.Class
+	timeout  time.Duration // of each request
+	resend   time.Duration // least time between retransmissions
+	pause    time.Duration // longest time between an outcome and the next request
+	settled  func(k *call, kind packet.Kind)
 }
 
 type call struct {
@@ -179,6 +192,7 @@
 	idempotent bool
 	ticket     []byte
 	request    uint64
+	startedAt  time.Time
 	deadline   time.Time
 	segments   map[uint32][]byte
 	mayHaveRun bool // an earlier try under another ticket may have run
@@ -190,8 +204,16 @@
 		w: w, service: service, feed: feed, name: fmt.Sprintf("caller-%d", n), notRun: map[string]packet.Reason{},
 		unknown: map[string]packet.Reason{},
 		address: netip.AddrPortFrom(netip.MustParseAddr("10.9.0.1"), uint16(10000+n)), buffer: map[uint64][]byte{},
-		heardAt: w.now,
+		heardAt: w.now, customer: "customer-1", class: packet.ClassNormal, timeout: 3 * time.Second,
+		resend: 100 * time.Millisecond, pause: 50 * time.Millisecond,
 	}
+	c.start()
+	return c
+}
+
+// start puts a new caller in the world and opens its flow.
+func (c *caller) start() {
+	w := c.w
 	binary.BigEndian.PutUint64(c.flow[:], w.random.Uint64())
 	w.callers[c.address] = c
 	c.open()
@@ -199,7 +221,6 @@
 		c.keepalive()
 		return !c.done
 	})
-	return c
 }
 
 func (c *caller) send(p packet.Packet) {
@@ -211,8 +232,8 @@
 	if c.opened || c.done {
 		return
 	}
-	c.send(packet.Packet{Kind: packet.KindOpen, Customer: "customer-1", Class: packet.ClassNormal, Timeout: 3 * time.Second})
-	c.w.after(c.w.jitter(100*time.Millisecond, 200*time.Millisecond), c.open)
+	c.send(packet.Packet{Kind: packet.KindOpen, Customer: c.customer, Class: c.class, Timeout: 3 * time.Second})
+	c.w.after(c.w.jitter(c.resend, 2*c.resend), c.open)
 }
 
 func (c *caller) keepalive() {
@@ -283,7 +304,7 @@
 	c.calls++
 	c.current = &call{
 		id: fmt.Sprintf("%s-%d", c.name, c.request), idempotent: c.w.random.IntN(2) == 0, ticket: c.ticket,
-		request: c.request, deadline: c.w.now.Add(3 * time.Second), segments: map[uint32][]byte{},
+		request: c.request, startedAt: c.w.now, deadline: c.w.now.Add(c.timeout), segments: map[uint32][]byte{},
 	}
 	c.transmit(c.current)
 }
@@ -292,7 +313,7 @@
 func (c *caller) repeat(k *call) {
 	c.request++
 	c.current = &call{
-		id: k.id, idempotent: true, ticket: c.ticket, request: c.request, deadline: k.deadline,
+		id: k.id, idempotent: true, ticket: c.ticket, request: c.request, startedAt: k.startedAt, deadline: k.deadline,
 		segments: map[uint32][]byte{}, mayHaveRun: true,
 	}
 	c.transmit(c.current)
@@ -305,20 +326,22 @@
 	left := k.deadline.Sub(c.w.now)
 	if left <= 0 {
 		c.unknown[k.id] = packet.ReasonNone
-		c.finish(func() {})
+		c.finish(packet.KindUnknown)
 		return
 	}
 	c.send(packet.Packet{
 		Kind: packet.KindRequest, Ticket: k.ticket, Request: k.request, Idempotent: k.idempotent, Timeout: left,
 		Payload: []byte(k.id),
 	})
-	c.w.after(c.w.jitter(100*time.Millisecond, 200*time.Millisecond), func() { c.transmit(k) })
+	c.w.after(c.w.jitter(c.resend, 2*c.resend), func() { c.transmit(k) })
 }
 
-func (c *caller) finish(count func()) {
-	count()
+func (c *caller) finish(kind packet.Kind) {
+	if c.settled != nil {
+		c.settled(c.current, kind)
+	}
 	c.current = nil
-	c.w.after(c.w.jitter(5*time.Millisecond, 50*time.Millisecond), c.next)
+	c.w.after(c.w.jitter(5*time.Millisecond, c.pause), c.next)
 }
 
 func (c *caller) receiveOutcome(p *packet.Packet) {
@@ -330,14 +353,14 @@
 		} else {
 			c.notRun[k.id] = p.Reason
 		}
-		c.finish(func() {})
+		c.finish(p.Kind)
 	case packet.KindUnknown:
 		if k.idempotent && p.Reason == packet.ReasonOwnerLost && len(p.Ticket) > 0 {
 			c.repeat(k)
 			return
 		}
 		c.unknown[k.id] = p.Reason
-		c.finish(func() {})
+		c.finish(p.Kind)
 	case packet.KindAnswer:
 		k.segments[p.Segment] = p.Payload
 		if len(k.segments) < int(p.Segments) {
@@ -351,7 +374,8 @@
 			c.w.fault("%s: wrong answer to %s", c.name, k.id)
 		}
 		c.send(packet.Packet{Kind: packet.KindConfirm, Ticket: k.ticket, Request: k.request})
-		c.finish(func() { c.answered++ })
+		c.answered++
+		c.finish(p.Kind)
 	}
 }
 
--- a/core/coordination/balancer/world_test.go
+++ b/core/coordination/balancer/world_test.go
@@ -39,6 +39,8 @@
 	faults   []string
 	counts   map[string]int64
 	config   balancer.Config
+	delay    func(from, to string) time.Duration // one way between failure domains, callers in ""; nil: at random
+	placed   func(s *backendServer, id string)   // called for each request and feed that a backend server takes
 }
 
 type event struct {
@@ -150,8 +152,8 @@
 	return low + time.Duration(w.random.Int64N(int64(high-low)))
 }
 
-// datagram delivers run with the faults of the network.
-func (w *world) datagram(run func()) {
+// datagram delivers run with the faults of the network between two failure domains.
+func (w *world) datagram(from, to string, run func()) {
 	copies := 1
 	if w.random.Float64() < w.loss {
 		copies = 0
@@ -159,7 +161,11 @@
 		copies = 2
 	}
 	for range copies {
-		w.after(w.jitter(time.Millisecond, 8*time.Millisecond), run)
+		if w.delay != nil {
+			w.after(w.delay(from, to), run)
+		} else {
+			w.after(w.jitter(time.Millisecond, 8*time.Millisecond), run)
+		}
 	}
 }
 
@@ -274,7 +280,7 @@
 	}
 	sent := *p
 	sent.Payload = append([]byte(nil), p.Payload...)
-	n.w.datagram(func() { c.receive(&sent) })
+	n.w.datagram(n.host.FailureDomain, "", func() { c.receive(&sent) })
 }
 
 // fromCaller sprays a packet over the nodes that the fabric knows.
@@ -289,7 +295,7 @@
 		return
 	}
 	n := targets[w.random.IntN(len(targets))]
-	w.datagram(func() {
+	w.datagram("", n.host.FailureDomain, func() {
 		n.deliver(func() {
 			n.b.HandleCaller(&packet.Envelope{Caller: c.address, Service: service, Packet: encode(&p)}, &p)
 		})
@@ -301,7 +307,7 @@
 // SendForward implements balancer.PeerSender.
 func (n *node) SendForward(to member.Host, f *packet.Forward) {
 	sent := *f
-	n.w.toPeer(n, to, n.w.datagram, func(peer *node) {
+	n.w.toPeer(n, to, func(peer *node) {
 		var p packet.Packet
 		if err := wire.NewDecoder().DecodePacket(sent.Packet, &p); err != nil {
 			n.w.fault("forwarded packet does not decode: %v", err)
@@ -311,20 +317,20 @@
 	})
 }
 
-func (w *world) toPeer(from *node, to member.Host, send func(func()), run func(*node)) {
+func (w *world) toPeer(from *node, to member.Host, run func(*node)) {
 	for _, peer := range w.nodes {
 		if peer.host.Incarnation != to.Incarnation || w.cut[[2]string{from.host.FailureDomain, to.FailureDomain}] {
 			continue
 		}
-		send(func() { peer.deliver(func() { run(peer) }) })
+		w.datagram(from.host.FailureDomain, to.FailureDomain, func() { peer.deliver(func() { run(peer) }) })
 	}
 }
 
 // SendHandover implements dispatch.HandoverSender. The message or its confirmation may be lost, or come late.
 func (n *node) SendHandover(to member.Host, h *flow.Handover) {
-	n.w.toPeer(n, to, n.w.datagram, func(peer *node) {
+	n.w.toPeer(n, to, func(peer *node) {
 		err := peer.b.HandleHandover(h)
-		n.w.toPeer(peer, n.host, n.w.datagram, func(sender *node) { sender.b.HandoverDone(h, err) })
+		n.w.toPeer(peer, n.host, func(sender *node) { sender.b.HandoverDone(h, err) })
 	})
 }
 
@@ -394,6 +400,9 @@
 
 func (l *link) order(run func()) {
 	at := l.n.w.now.Add(l.n.w.jitter(time.Millisecond, 3*time.Millisecond))
+	if l.n.w.delay != nil && l.server != nil {
+		at = at.Add(l.n.w.delay(l.n.host.FailureDomain, l.server.domain))
+	}
 	if at.Before(l.last) {
 		at = l.last
 	}
