--- a/core/coordination/balancer/world_test.go
+++ b/core/coordination/balancer/world_test.go
@@ -33,6 +33,7 @@
 	tables   *table.Tables
 	version  uint64
 	loss     float64
+	handover time.Duration      // added to the delay of handovers
 	cut      map[[2]string]bool // pairs of failure domains without a path
 	runs     map[string]int     // executions by request ID
 	work     map[netip.AddrPort]int
@@ -317,18 +318,28 @@
 	})
 }
 
-func (w *world) toPeer(from *node, to member.Host, run func(*node)) {
+func (w *world) toPeer(from *node, to member.Host, run func(*node)) { w.toPeerAfter(0, from, to, run) }
+
+// toPeerAfter sends a datagram after a delay at the sender.
+func (w *world) toPeerAfter(wait time.Duration, from *node, to member.Host, run func(*node)) {
 	for _, peer := range w.nodes {
 		if peer.host.Incarnation != to.Incarnation || w.cut[[2]string{from.host.FailureDomain, to.FailureDomain}] {
 			continue
 		}
-		w.datagram(from.host.FailureDomain, to.FailureDomain, func() { peer.deliver(func() { run(peer) }) })
+		send := func() {
+			w.datagram(from.host.FailureDomain, to.FailureDomain, func() { peer.deliver(func() { run(peer) }) })
+		}
+		if wait > 0 {
+			w.after(wait, send)
+		} else {
+			send()
+		}
 	}
 }
 
 // SendHandover implements dispatch.HandoverSender. The message or its confirmation may be lost, or come late.
 func (n *node) SendHandover(to member.Host, h *flow.Handover) {
-	n.w.toPeer(n, to, func(peer *node) {
+	n.w.toPeerAfter(n.w.handover, n, to, func(peer *node) {
 		err := peer.b.HandleHandover(h)
 		n.w.toPeer(peer, n.host, func(sender *node) { sender.b.HandoverDone(h, err) })
 	})
