--- a/core/coordination/balancer/peers_test.go
+++ b/core/coordination/balancer/peers_test.go
@@ -195,7 +195,6 @@
 	buffer    map[uint64][]byte
 	heardAt   time.Time
 	hook      func(*packet.Packet) // takes all packets instead of the caller's own rules
-	adoptions int                  // tickets from other owners
 
 	customer string
 	class    packet.Class
