--- a/core/coordination/dispatch/shard.go
+++ b/core/coordination/dispatch/shard.go
@@ -193,8 +193,8 @@
 // Key returns the shard's key.
 func (s *Shard) Key() flow.ShardKey { return s.key }
 
-// SetEndpoints takes the shard's endpoints from a new table version.
-func (s *Shard) SetEndpoints(now time.Time, endpoints []table.Endpoint) {
+// SetEndpoints takes the shard's endpoints from a new table version, and returns those that are new to the shard.
+func (s *Shard) SetEndpoints(now time.Time, endpoints []table.Endpoint) (added []netip.AddrPort) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	added, removed, leaving := s.endpoints.Update(now, endpoints)
@@ -214,13 +214,14 @@
 		s.moveFeeds(now, a, "leaving")
 	}
 	s.dispatch(now)
+	return added
 }
 
-// MarkLeaving stops new work for an endpoint whose host the platform lists as leaving.
-func (s *Shard) MarkLeaving(now time.Time, address netip.AddrPort) {
+// MarkLeaving stops new work for an endpoint whose host the platform lists as leaving, or allows it again.
+func (s *Shard) MarkLeaving(now time.Time, address netip.AddrPort, leaving bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.endpoints.MarkLeaving(now, address, endpoint.LeavingHost, true) {
+	if s.endpoints.MarkLeaving(now, address, endpoint.LeavingHost, leaving) {
 		s.moveFeeds(now, address, "leaving")
 	}
 }
