Let pins bind while a new owner connects

Cause: an owner that takes over flows has no connections for some milliseconds. Change: in the first second of a shard (connectGrace) a pin to a listed endpoint that was never connected binds, and its work waits.

--- a/core/coordination/dispatch/attempts.go
+++ b/core/coordination/dispatch/attempts.go
@@ -73,12 +73,18 @@
 // canRun reports whether an item that is pinned to an endpoint can be sent now. A pin to an endpoint that serves no
 // more is void, so that any free endpoint will do.
 func (s *Shard) canRun(a netip.AddrPort) bool {
-	if s.endpoints.IsUsable(a) {
+	if s.holdsPin(s.eventAt, a) {
 		return s.endpoints.CanAcquire(a)
 	}
 	return s.endpoints.AnyFree()
 }
 
+// holdsPin reports whether a pin to an endpoint binds now. A shard that just took over flows has no connections yet: for
+// a short time their pins bind all the same, because the first connected endpoint would otherwise take them all.
+func (s *Shard) holdsPin(now time.Time, a netip.AddrPort) bool {
+	return s.endpoints.IsUsable(a) || now.Sub(s.createdAt) < connectGrace && s.endpoints.IsAwaited(a)
+}
+
 // send starts an attempt.
 func (s *Shard) send(now time.Time, f *flowState, r *flow.Record, pe *pending) {
 	a, ok := s.selectEndpoint(now, f)
@@ -118,7 +124,7 @@
 	if s.config.Mode == ModeHash {
 		return s.chooseByHash(f)
 	}
-	if f.endpoint.IsValid() && s.endpoints.IsUsable(f.endpoint) {
+	if f.endpoint.IsValid() && s.holdsPin(now, f.endpoint) {
 		return f.endpoint, s.endpoints.CanAcquire(f.endpoint)
 	}
 	return s.endpoints.Choose(now, f.endpoint)
--- a/core/coordination/dispatch/feeds.go
+++ b/core/coordination/dispatch/feeds.go
@@ -81,7 +81,7 @@
 		return
 	}
 	a := f.endpoint
-	if !a.IsValid() || !s.endpoints.IsUsable(a) {
+	if !a.IsValid() || !s.holdsPin(now, a) {
 		var ok bool
 		if a, ok = s.endpoints.ChooseFeed(now, f.endpoint); !ok {
 			return
--- a/core/coordination/endpoint/use.go
+++ b/core/coordination/endpoint/use.go
@@ -99,6 +99,12 @@
 	return t != nil && t.isUsable()
 }
 
+// IsAwaited reports whether an endpoint would be usable if it had ever been connected since it was listed here.
+func (s *Set) IsAwaited(address netip.AddrPort) bool {
+	t := s.byName[address]
+	return t != nil && t.isListed && !t.isUp && t.incarnation == 0 && t.leaving == 0 && !t.isEjected
+}
+
 // Acquire takes a slot of an endpoint, or returns false if CanAcquire does.
 func (s *Set) Acquire(now time.Time, address netip.AddrPort) bool {
 	s.advance(now)
