Measure over several seeds

Change: -measure.seeds runs several seeds and writes their mean, and the sum of broken flows; -measure.modes selects the routing modes.

--- a/core/coordination/balancer/measure_test.go
+++ b/core/coordination/balancer/measure_test.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"os"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -19,7 +20,9 @@
 
 var (
 	measureFile = flag.String("measure", "", "measure all routing modes and write the table to this file")
-	measureSeed = flag.Uint64("measure.seed", 1, "seed of the measurements")
+	measureSeed = flag.Uint64("measure.seed", 1, "first seed of the measurements")
+	seedCount   = flag.Int("measure.seeds", 1, "number of seeds; the file has the mean, and the sum of broken flows")
+	modeList    = flag.String("measure.modes", "owner,hash,least_connections", "routing modes to measure into the file")
 )
 
 // result holds the figures of one deployment under one routing mode.
@@ -39,42 +42,48 @@
 	"brown-out":             measureBrownOut,
 }
 
-// TestMeasure measures the policy. With -measure the baselines are measured as well.
+// TestMeasure measures the policy, and with -measure the baselines as well.
 func TestMeasure(t *testing.T) {
-	modes := []dispatch.Mode{dispatch.ModeOwner}
+	modes := []string{string(dispatch.ModeOwner)}
 	if *measureFile != "" {
-		modes = append(modes, dispatch.ModeHash, dispatch.ModeLeastConnections)
+		modes = strings.Split(*modeList, ",")
 	}
-	var results []*result
+	var parts []*result
 	t.Run("all", func(t *testing.T) {
 		for _, d := range deployments {
 			for _, mode := range modes {
 				for name, measure := range measures {
-					r := &result{d.name, mode, map[string]float64{}}
-					results = append(results, r)
-					t.Run(fmt.Sprintf("%s/%s/%s", d.name, mode, name), func(t *testing.T) {
-						t.Parallel()
-						measure(r, d, *measureSeed)
-					})
+					for seed := *measureSeed; seed < *measureSeed+uint64(*seedCount); seed++ {
+						r := &result{d.name, dispatch.Mode(mode), map[string]float64{}}
+						parts = append(parts, r)
+						t.Run(fmt.Sprintf("%s/%s/%s/%d", d.name, mode, name, seed), func(t *testing.T) {
+							t.Parallel()
+							measure(r, d, seed)
+						})
+					}
 				}
 			}
 		}
 	})
 	if *measureFile != "" {
-		writeResults(t, merge(results))
+		writeResults(t, merge(parts))
 	}
 }
 
+// merge joins the runs of each deployment and mode: the sum of broken flows and refused requests, the mean of all else.
 func merge(parts []*result) []*result {
 	var merged []*result
 	for _, p := range parts {
 		i := slices.IndexFunc(merged, func(r *result) bool { return r.Deployment == p.Deployment && r.Mode == p.Mode })
 		if i < 0 {
-			merged = append(merged, p)
-			continue
+			i = len(merged)
+			merged = append(merged, &result{p.Deployment, p.Mode, map[string]float64{}})
 		}
 		for name, figure := range p.Figures {
-			merged[i].Figures[name] = figure
+			if !strings.HasPrefix(name, "broken") && !strings.HasPrefix(name, "refused") {
+				figure /= float64(*seedCount)
+			}
+			merged[i].Figures[name] += figure
 		}
 	}
 	return merged
@@ -86,7 +95,7 @@
 			r.Figures[name] = math.Round(figure*1000) / 1000
 		}
 	}
-	out, err := yaml.Marshal(map[string]any{"seed": *measureSeed, "results": results})
+	out, err := yaml.Marshal(map[string]any{"first_seed": *measureSeed, "seeds": *seedCount, "results": results})
 	if err != nil {
 		t.Fatal(err)
 	}
