Give pool shards exact shares of the buckets

Cause: each bucket went to the winner of a weighted rendezvous hash, so the shares of three or four shards were off by about 4 % (one standard deviation). Change: a shard leaves the choice once it has its share of the buckets.

--- a/core/coordination/routing/layout.go
+++ b/core/coordination/routing/layout.go
@@ -126,8 +126,9 @@
 	return d.Sum64()
 }
 
-// fillBuckets gives each bucket to the winner of a rendezvous hash weighted by slots. A change of one shard's weight
-// thereby moves only buckets to or from that shard.
+// fillBuckets gives each bucket to the winner of a rendezvous hash weighted by slots, among the shards that have not yet
+// their exact share. Without the quotas the shares of three shards are off by about 4 %. A change of one shard's weight
+// moves few buckets between other shards; only opens that are retransmitted during the change notice.
 func fillBuckets(shards []*Shard) []uint16 {
 	if len(shards) == 0 {
 		return nil
@@ -137,18 +138,45 @@
 		count *= 2
 	}
 	buckets := make([]uint16, count)
+	left := quotas(shards, count)
 	for b := range buckets {
 		best, bestScore := 0, math.Inf(-1)
 		for i, s := range shards {
+			if left[i] == 0 {
+				continue
+			}
 			if score := weightedScore(mix(s.hash, uint64(b)), s.Slots); score > bestScore {
 				best, bestScore = i, score
 			}
 		}
 		buckets[b] = uint16(best)
+		left[best]--
 	}
 	return buckets
 }
 
+// quotas divides the buckets among the shards in proportion to their slots. Rounding the running sum keeps each quota
+// within one bucket of its share and the total exact. Without any slots the first shard gets all buckets.
+func quotas(shards []*Shard, count int) []int {
+	total := 0
+	for _, s := range shards {
+		total += s.Slots
+	}
+	quota := make([]int, len(shards))
+	if total == 0 {
+		quota[0] = count
+		return quota
+	}
+	sum, given := 0, 0
+	for i, s := range shards {
+		sum += s.Slots
+		upTo := int(int64(count) * int64(sum) / int64(total))
+		quota[i] = upTo - given
+		given = upTo
+	}
+	return quota
+}
+
 // weightedScore is the score of weighted rendezvous hashing: the winner is i with probability weight(i)/sum.
 func weightedScore(hash uint64, weight int) float64 {
 	if weight <= 0 {
