Count control bytes and lost datagrams in the metrics

Cause: nothing counted cornellb_control_bytes_total, so the budget of 4 KB/s could not be watched; losses at the sockets were counted by the transports only. Change: the host copies the transports' counters once a second; /status names loads in snake case.

--- a/core/coordination/dispatch/shard.go
+++ b/core/coordination/dispatch/shard.go
@@ -322,7 +322,10 @@
 
 // Load is a summary of a shard for status and tests.
 type Load struct {
-	Flows, Feeds, Queued, InFlight int
+	Flows    int `json:"flows"`
+	Feeds    int `json:"feeds"`
+	Queued   int `json:"queued"`
+	InFlight int `json:"in_flight"`
 }
 
 // Load returns the present load.
--- a/io/transport/host/host.go
+++ b/io/transport/host/host.go
@@ -71,6 +71,7 @@
 	joined     atomic.Bool                 // the core has a membership view
 	latest     atomic.Pointer[member.View] // last view of the gossip
 	joining    joinTimes
+	counted    transportCounts
 	announced  uint64 // table version last given to the gossip; used by the ticking goroutine alone
 	ctx        context.Context
 	cancel     context.CancelFunc
@@ -203,6 +204,7 @@
 		h.admitView(time.Now())
 		h.balancer.Tick()
 		h.tables.Tick()
+		h.countTransports(time.Now())
 		if v := h.tables.Version(); v != h.announced {
 			h.announced = v
 			h.runner.SetTableVersion(v)
