Let a resumed owner pass packets on to the new owner

Cause: a balancer that resumed from a pause still held its flows and answered requests under the new owner's tickets with unknown, as if that owner were lost (found by reading; TestResumedOwnerPassesOn fails without the change). Change: a shard handles a packet of a held flow only under a grant of that flow; otherwise the packet goes to the ticket's owner while that can be reached.

--- a/core/coordination/balancer/scripted_test.go
+++ b/core/coordination/balancer/scripted_test.go
@@ -188,6 +188,33 @@
 	is.Equal(f.faults, nil)
 }
 
+// An owner that resumes still holds its flows. It must pass packets under the tickets of the new owner on, and not answer
+// them with unknown as if that owner were lost.
+func TestResumedOwnerPassesOn(t *testing.T) {
+	is := is.New(t)
+	f := newRandomFleet(19)
+	s := f.addScript(serviceAddress)
+	s.open(is)
+	owner := f.ownerOf(s.ticket)
+	owner.isPaused = true
+	f.states[owner] = member.StateDead
+	f.views()
+	f.run(2 * time.Second)
+	for _, n := range f.nodes {
+		s.sendTo(n, serviceAddress, packet.Packet{Kind: packet.KindPing, Ticket: s.ticket})
+		f.run(100 * time.Millisecond)
+	}
+	is.True(f.ownerOf(s.ticket) != owner) // the caller has the new owner's ticket
+	owner.resume()
+	f.run(time.Second)
+	for r := uint64(1); r <= 5; r++ {
+		s.sendTo(owner, serviceAddress, s.edit(r, time.Second))
+		f.run(500 * time.Millisecond)
+		is.Equal(s.outcomes(r), map[packet.Kind]bool{packet.KindAnswer: true})
+	}
+	is.Equal(f.faults, nil)
+}
+
 // A process that replaces another one under its host ID must not run requests under tickets of the former.
 func TestReplacementDoesNotRunOldTickets(t *testing.T) {
 	is := is.New(t)
--- a/core/coordination/dispatch/flows.go
+++ b/core/coordination/dispatch/flows.go
@@ -145,20 +145,21 @@
 	f.lastSeen, f.caller, f.service = now, from.Caller, from.Service
 }
 
-// HandleHeld takes a packet of a ticketed flow if the shard holds that flow, and reports whether it does. The ticket is
-// authentic and fits the packet's flow and service.
+// HandleHeld takes a packet of a ticketed flow if the shard holds that flow under the ticket's grant, and reports whether
+// it does. The ticket is authentic and fits the packet's flow and service.
 func (s *Shard) HandleHeld(now time.Time, from Origin, t *flow.Ticket, p *packet.Packet) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	f := s.flows[p.Flow]
-	if f == nil {
+	if f == nil || !f.accepts(t.Grant) {
 		return false
 	}
 	s.handlePacket(now, f, from, t, p)
 	return true
 }
 
-// HandleCaller takes a packet of a ticketed flow. A flow that the shard does not hold is adopted.
+// HandleCaller takes a packet of a ticketed flow whose owner cannot be reached. A flow that the shard does not hold is
+// adopted.
 func (s *Shard) HandleCaller(now time.Time, from Origin, t *flow.Ticket, p *packet.Packet) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
