--- a/core/coordination/balancer/scripted_test.go
+++ b/core/coordination/balancer/scripted_test.go
@@ -197,10 +197,18 @@
 	s.open(is)
 	owner := f.ownerOf(s.ticket)
 	owner.isPaused = true
-	f.states[owner] = member.StateDead
-	f.views()
+	// The others take the owner for dead. Its own view is the old one also after its pause, so that it keeps its flows.
+	f.publishViewsOf(func(observer, target *node) member.State {
+		if target == owner && observer != owner {
+			return member.StateDead
+		}
+		return member.StateAlive
+	}, time.Millisecond, 2*time.Millisecond)
 	f.run(2 * time.Second)
 	for _, n := range f.nodes {
+		if n == owner {
+			continue
+		}
 		s.sendTo(n, serviceAddress, packet.Packet{Kind: packet.KindPing, Ticket: s.ticket})
 		f.run(100 * time.Millisecond)
 	}
