Log violated invariants and changes of members

Cause: a violated invariant was counted only, and a member that came or went left no line. Change: one error line for the first violation of each invariant; one line for each change of a member's state, at the debug level for other failure domains.

--- a/io/transport/host/host.go
+++ b/io/transport/host/host.go
@@ -114,7 +114,7 @@
 	h.backend = backend.New(backend.Settings{}, backend.SystemClock{}, h.log, backendEvents{h})
 	out := balancer.Outputs{
 		Caller: callerSender{h}, Backend: h.backend, Handover: handoverSender{h}, Peer: forwardSender{h},
-		Tickets: codec, Recorder: h.metrics,
+		Tickets: codec, Recorder: recorder{h.metrics, h},
 	}
 	h.balancer = balancer.New(h.self, coreConfig(s), backend.SystemClock{}, out)
 	h.runner = peer.NewRunner(backend.SystemClock{}, membershipEvents{h})
--- a/io/transport/host/join.go
+++ b/io/transport/host/join.go
@@ -22,7 +22,9 @@
 
 // takeView keeps a view of the gossip and passes it to the core once the process has joined.
 func (h *Host) takeView(v *member.View) {
-	h.latest.Store(v)
+	if before := h.latest.Swap(v); before != nil {
+		h.logChanges(before, v)
+	}
 	if len(v.Hosts) > 1 {
 		h.joining.firstPeerAt.CompareAndSwap(0, time.Now().UnixNano())
 	}
