Forward packets without allocation

Cause: a ticket and a forward escaped to the heap for each packet that an ingress passes on (272 bytes in 2 allocations). Change: both come from pools; PeerSender may not keep its argument. Result: go test -run '^$' -bench Route -benchmem ./core/coordination/balancer, 0 allocations at all sizes; 0.16 to 0.27 µs per packet, before 0.43 to 0.92 µs (on a machine shared with other jobs).

--- a/core/coordination/balancer/balancer.go
+++ b/core/coordination/balancer/balancer.go
@@ -32,7 +32,7 @@
 	Now() time.Time
 }
 
-// PeerSender sends datagrams to other balancers. It does not block and may lose them.
+// PeerSender sends datagrams to other balancers. It does not block, may lose them, and does not keep them after the call.
 type PeerSender interface {
 	SendForward(to member.Host, f *packet.Forward)
 }
--- a/core/coordination/balancer/bench_test.go
+++ b/core/coordination/balancer/bench_test.go
@@ -148,3 +148,15 @@
 		})
 	}
 }
+
+// Passing on a packet must not allocate: the cost of an ingress would otherwise grow with the garbage collector's work.
+func TestForwardDoesNotAllocate(t *testing.T) {
+	x, o := benchBalancer(1_000, 100)
+	env := &packet.Envelope{Caller: benchAddress(13, 1), Service: benchAddress(11, 0)}
+	p := &packet.Packet{Kind: packet.KindRequest, Ticket: make([]byte, 24)}
+	binary.BigEndian.PutUint64(p.Ticket[16:], 2) // the owner is another member
+	allocations := testing.AllocsPerRun(1000, func() { x.HandleCaller(env, p) })
+	if allocations > 0 || o.forwards < 1000 {
+		t.Errorf("%v allocations a packet, %d packets forwarded", allocations, o.forwards)
+	}
+}
--- a/core/coordination/balancer/ingress.go
+++ b/core/coordination/balancer/ingress.go
@@ -1,6 +1,7 @@
 package balancer
 
 import (
+	"sync"
 	"time"
 
 	"cornellb/core/coordination/dispatch"
@@ -16,6 +17,12 @@
 // version takes to be in force everywhere.
 const refusedRetry = 4 * time.Second
 
+// Tickets and forwards pass through interfaces and would be allocated for each packet. Nothing keeps them after the call.
+var (
+	tickets  = sync.Pool{New: func() any { return new(flow.Ticket) }}
+	forwards = sync.Pool{New: func() any { return new(packet.Forward) }}
+)
+
 // HandleCaller takes a caller's datagram from the fabric. The packet may alias the envelope's bytes.
 func (b *Balancer) HandleCaller(env *packet.Envelope, p *packet.Packet) {
 	b.route(&packet.Forward{Envelope: *env}, p)
@@ -41,8 +48,10 @@
 		b.routeOpen(plan, route, f, p)
 		return
 	}
-	var t flow.Ticket
-	if err := b.out.Tickets.Open(p.Ticket, &t); err != nil {
+	t := tickets.Get().(*flow.Ticket)
+	defer tickets.Put(t)
+	*t = flow.Ticket{}
+	if err := b.out.Tickets.Open(p.Ticket, t); err != nil {
 		b.drop("bad_ticket")
 		return
 	}
@@ -50,7 +59,7 @@
 		b.drop("wrong_service")
 		return
 	}
-	b.routeTicketed(plan, route, f, &t, p)
+	b.routeTicketed(plan, route, f, t, p)
 }
 
 // refuseUnrouted answers an open without a route. Other packets are dropped, since their request may be running.
@@ -196,8 +205,11 @@
 		b.drop("hops")
 		return
 	}
-	next := *f
+	next := forwards.Get().(*packet.Forward)
+	*next = *f
 	next.Hops++
 	b.out.Recorder.Count(metric.Forwarded, "packet", 1)
-	b.out.Peer.SendForward(to, &next)
+	b.out.Peer.SendForward(to, next)
+	next.Packet = nil
+	forwards.Put(next)
 }
