--- a/tools/slopes/main.go
+++ b/tools/slopes/main.go
@@ -13,6 +13,7 @@
 	"fmt"
 	"os"
 	"os/exec"
+	"path/filepath"
 	"slices"
 	"strings"
 	"time"
@@ -43,6 +44,9 @@
 	if err != nil {
 		return fmt.Errorf("git describe: %w", err)
 	}
+	if err := os.MkdirAll(filepath.Dir(out), 0o755); err != nil { // before the long run, not after it
+		return err
+	}
 	results := make(map[string]measured)
 	file := &capacity.Slopes{}
 	for _, d := range definitions {
