Measure views that the balancer takes, and measure one benchmark anew

Cause: a balancer now ignores a view that it has, so that the slope of new views was 28 ns.

Change: each view of the benchmark differs from the one before, and the benchmark fails if it was not taken. tools/slopes -only replaces the slopes of one benchmark.

--- a/core/coordination/balancer/bench_test.go
+++ b/core/coordination/balancer/bench_test.go
@@ -129,10 +129,23 @@
 	for _, s := range [][2]int{{1_000, 100}, {10_000, 1_000}, {130_000, 12_000}} {
 		endpoints, members := s[0], s[1]
 		x, _ := benchBalancer(endpoints, members)
+		version := uint64(1)
 		b.Run(fmt.Sprintf("view/%d", members), func(b *testing.B) {
-			v := benchView(2, members)
+			hosts := benchView(0, members).Hosts
+			self := benchHost(0)
 			for b.Loop() {
+				b.StopTimer() // each view differs from the one before in one member, as after a death
+				all := append([]member.Host{}, hosts...)
+				if version++; version%2 == 0 {
+					all[len(all)-1].State = member.StateDead
+				}
+				v := member.NewView(version, self, all)
+				b.StartTimer()
+				before := x.Plan()
 				x.SetView(v)
+				if x.Plan() == before {
+					b.Fatal("the view was not taken")
+				}
 			}
 		})
 		b.Run(fmt.Sprintf("tables/%d", endpoints), func(b *testing.B) {
--- a/core/state/capacity/report.go
+++ b/core/state/capacity/report.go
@@ -58,7 +58,18 @@
 	}
 	digits := int(math.Floor(math.Log10(math.Abs(v)))) - 2
 	unit := math.Pow(10, float64(digits))
-	text := strconv.FormatFloat(math.Round(v/unit)*unit, 'f', 0, 64)
+	return separated(strconv.FormatFloat(math.Round(v/unit)*unit, 'f', 0, 64))
+}
+
+// exact writes a budget without rounding.
+func exact(v float64) string {
+	if v < 100 {
+		return strconv.FormatFloat(v, 'f', -1, 64)
+	}
+	return separated(strconv.FormatFloat(v, 'f', -1, 64))
+}
+
+func separated(text string) string {
 	for i := len(text) - 3; i > 0 && text[i-1] != '-'; i -= 3 {
 		text = text[:i] + "," + text[i:]
 	}
@@ -121,7 +132,7 @@
 		g := s.figure(f, r.value)
 		budget, limit := "-", "-"
 		if r.Budget > 0 {
-			budget, limit = number(r.Budget), s.carriesUpTo(f, r)
+			budget, limit = exact(r.Budget), s.carriesUpTo(f, r)
 		}
 		lines = append(lines, []string{
 			r.Role, r.What, g.String(), r.Unit, budget, verdict(g.Value, r.Budget), limit, r.Mechanism,
@@ -139,7 +150,7 @@
 		g := s.figure(f, x.value)
 		limit := "-"
 		if x.Limit > 0 {
-			limit = number(x.Limit)
+			limit = exact(x.Limit)
 		}
 		lines = append(lines, []string{x.Moment, x.What, g.String(), x.Unit, limit, verdict(g.Value, x.Limit), x.Where})
 	}
--- a/tools/slopes/main.go
+++ b/tools/slopes/main.go
@@ -32,14 +32,15 @@
 
 func main() {
 	out := flag.String("out", "docs/capacity/slopes.yaml", "file to write")
+	only := flag.String("only", "", "benchmark to measure anew; the other slopes of the file are kept")
 	flag.Parse()
-	if err := run(*out); err != nil {
+	if err := run(*out, *only); err != nil {
 		fmt.Fprintln(os.Stderr, "slopes:", err)
 		os.Exit(1)
 	}
 }
 
-func run(out string) error {
+func run(out, only string) error {
 	version, err := exec.Command("git", "describe", "--always", "--dirty").Output()
 	if err != nil {
 		return fmt.Errorf("git describe: %w", err)
@@ -48,8 +49,16 @@
 		return err
 	}
 	results := make(map[string]measured)
+	kept, err := keptSlopes(out, only)
+	if err != nil {
+		return err
+	}
 	file := &capacity.Slopes{}
 	for _, d := range definitions {
+		if only != "" && !strings.HasPrefix(d.pattern, only+"/") {
+			file.Slopes = append(file.Slopes, kept[d.name])
+			continue
+		}
 		command := d.command()
 		if _, found := results[command]; !found {
 			fmt.Fprintln(os.Stderr, command)
@@ -71,6 +80,26 @@
 	return os.WriteFile(out, data, 0o644)
 }
 
+// keptSlopes returns the slopes of the file if only one benchmark is measured anew.
+func keptSlopes(out, only string) (map[string]*capacity.Slope, error) {
+	if only == "" {
+		return nil, nil
+	}
+	data, err := os.ReadFile(out)
+	if err != nil {
+		return nil, err
+	}
+	file, err := capacity.Load(data)
+	if err != nil {
+		return nil, err
+	}
+	kept := make(map[string]*capacity.Slope)
+	for _, s := range file.Slopes {
+		kept[s.Name] = s
+	}
+	return kept, nil
+}
+
 func measure(command string) (measured, error) {
 	words := strings.Fields(strings.ReplaceAll(command, "'", ""))
 	data, err := exec.Command(words[0], words[1:]...).CombinedOutput()
