Move flows of a renamed pool, and requests that wait in a shard without endpoints

Cause: test/process found two faults. TestLeavingLastServer: a request queued when the only backend server of a shard left held its flow back until its deadline (1 of 120 to 245 requests unknown after 20 s). TestPoolRenamed: the flows of a pool that is gone stayed at their owner and feeds stalled. The same cases on the simulated clock also ended a request as unknown, because the old owner adopted a flow again that it had moved. Change: waiting requests that were never sent are withdrawn when their shard is left; the route of the service names the pool that takes the flows; the owner of a left shard passes packets on to the shard that took its flows.

--- a/core/coordination/balancer/balancer.go
+++ b/core/coordination/balancer/balancer.go
@@ -218,16 +218,17 @@
 	return now.Sub(o.at) >= dwellTime
 }
 
-// leaveShard moves the flows of a shard that has no endpoint for them to the next shard of the pool. Without one the
+// leaveShard moves the flows of a shard that has no endpoint for them to another shard of the service. Without one the
 // flows stay until they expire, and their requests are refused. All balancers with the same tables choose the same shard.
 func (b *Balancer) leaveShard(now time.Time, plan *routing.Plan, key flow.ShardKey, sh *dispatch.Shard) {
-	target := plan.Next(key)
+	target := plan.Refuge(key, sh.Service())
 	if target == nil {
 		sh.Stay()
 		return
 	}
 	if owner, ok := plan.Owner(target); ok {
 		sh.MoveTo(now, owner, target.Key)
+		sh.Withdraw()
 	}
 }
 
--- a/core/coordination/balancer/failures_test.go
+++ b/core/coordination/balancer/failures_test.go
@@ -364,6 +364,21 @@
 			f.run(8 * time.Second)
 		}
 	},
+	"pool is renamed": func(f *fleet) {
+		t := f.edit()
+		t.Routes[0].Pool, t.Pools[0].Name = "renamed", "renamed"
+		f.publishTables(t, time.Millisecond, 2*time.Second)
+		f.run(8 * time.Second)
+	},
+	"all backend servers of a failure domain leave by their own word": func(f *fleet) {
+		for _, e := range f.tables.Pools[0].Endpoints {
+			if e.FailureDomain == domains[1] {
+				s := f.backends[e.Address]
+				s.leaving, s.leftAt = true, f.now
+			}
+		}
+		f.run(10 * time.Second)
+	},
 	"route gets a second address": func(f *fleet) {
 		t := f.edit()
 		t.Routes = append(t.Routes, table.Route{Name: "second", Address: thirdAddress, Service: "reminders", Pool: "reminders"})
--- a/core/coordination/balancer/ingress.go
+++ b/core/coordination/balancer/ingress.go
@@ -169,7 +169,10 @@
 		sh.HandleCaller(b.clock.Now(), originOf(f), t, p)
 		return
 	}
-	s := plan.ShardOf(t.Shard, route.Pool)
+	if b.handleElsewhere(f, t, p) {
+		return
+	}
+	s := b.presentShard(plan, plan.ShardOf(t.Shard, route.Pool))
 	if s == nil {
 		b.drop("no_shard")
 		return
@@ -186,6 +189,38 @@
 	b.localShard(s.Key, s.Service).HandleCaller(b.clock.Now(), originOf(f), t, p)
 }
 
+// handleElsewhere handles a packet of a flow that came from another pool shard of its service, whose owner alone knew
+// that no endpoint of it was usable. The ticket still names that shard.
+func (b *Balancer) handleElsewhere(f *packet.Forward, t *flow.Ticket, p *packet.Packet) bool {
+	for _, sh := range b.localShards() {
+		if sh.Service() == t.Service && sh.HandleHeld(b.clock.Now(), originOf(f), t, p) {
+			return true
+		}
+	}
+	return false
+}
+
+// presentShard follows a local shard that is left to the shard that takes its flows.
+func (b *Balancer) presentShard(plan *routing.Plan, s *routing.Shard) *routing.Shard {
+	if s == nil {
+		return nil
+	}
+	b.mu.RLock()
+	sh := b.shards[s.Key]
+	b.mu.RUnlock()
+	if sh == nil {
+		return s
+	}
+	target, isMoving := sh.Target()
+	if !isMoving || target == s.Key {
+		return s
+	}
+	if next := plan.Layout.Shard(target); next != nil {
+		return next
+	}
+	return s
+}
+
 func (b *Balancer) localShard(key flow.ShardKey, service string) *dispatch.Shard {
 	b.mu.RLock()
 	sh := b.shards[key]
--- a/core/coordination/dispatch/handover.go
+++ b/core/coordination/dispatch/handover.go
@@ -45,6 +45,13 @@
 	s.continueHandover(now)
 }
 
+// Target returns the shard that the flows move to, if they do.
+func (s *Shard) Target() (target flow.ShardKey, isMoving bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.handover.target, s.handover.isActive()
+}
+
 // Stay ends a handover: this process is the shard's owner again. Flows that were sent stay with their receiver.
 func (s *Shard) Stay() {
 	s.mu.Lock()
@@ -52,6 +59,25 @@
 	s.handover.to = member.Host{}
 }
 
+// Withdraw takes requests that wait for a slot and were never sent back out of a shard whose flows move, as if they had
+// not arrived: their retransmissions reach the new owner. Without an endpoint they would hold the handover of their flows
+// back until their deadline.
+func (s *Shard) Withdraw() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.all.each(func(f *flowState) {
+		f.window.RemoveIf(func(r *flow.Record) bool {
+			key := requestKey{f.id, r.Request}
+			if s.queued[key] == nil || r.State != flow.StateQueued || r.MayHaveRun {
+				return false
+			}
+			s.queue.Remove(f.id, r.Request)
+			delete(s.queued, key)
+			return true
+		})
+	})
+}
+
 // Force settles every request in progress, so that all flows can be handed over at once: waiting requests are refused
 // and sent ones become unknown.
 func (s *Shard) Force(now time.Time) {
--- a/core/coordination/dispatch/shard.go
+++ b/core/coordination/dispatch/shard.go
@@ -193,6 +193,9 @@
 // Key returns the shard's key.
 func (s *Shard) Key() flow.ShardKey { return s.key }
 
+// Service returns the service of the shard's pool.
+func (s *Shard) Service() string { return s.service }
+
 // SetEndpoints takes the shard's endpoints from a new table version, and returns those that are new to the shard.
 func (s *Shard) SetEndpoints(now time.Time, endpoints []table.Endpoint) (added []netip.AddrPort) {
 	s.mu.Lock()
--- a/core/coordination/routing/plan.go
+++ b/core/coordination/routing/plan.go
@@ -100,15 +100,40 @@
 	return pl.Next(key)
 }
 
-// ShardOf returns the shard that a ticketed flow belongs to now: the ticket's own shard while it has slots, else the
-// next one of the pool.
+// ShardOf returns the shard that a ticketed flow belongs to now: the ticket's own shard while it has slots, else its
+// successor in the pool of the flow's route.
 func (p *Plan) ShardOf(key flow.ShardKey, pool string) *Shard {
 	s := p.Layout.Shard(key)
 	if key.Pool == pool && s != nil && s.Slots > 0 {
 		return s
 	}
-	if next := p.Next(flow.ShardKey{Pool: pool, FailureDomain: key.FailureDomain, Group: key.Group}); next != nil {
+	if next := p.successor(key, pool); next != nil {
 		return next
 	}
 	return s
 }
+
+// Refuge returns the shard that takes the flows of a shard without endpoints, or nil. If the shard's pool is gone, it is
+// in the pool that the service's route names now.
+func (p *Plan) Refuge(key flow.ShardKey, service string) *Shard {
+	if p.Layout.Pool(key.Pool) != nil {
+		return p.Next(key)
+	}
+	for i := range p.Layout.Index.Tables.Routes {
+		if r := &p.Layout.Index.Tables.Routes[i]; r.Service == service {
+			return p.successor(key, r.Pool)
+		}
+	}
+	return nil
+}
+
+// successor prefers the shard of the same failure domain if the pool is another one.
+func (p *Plan) successor(key flow.ShardKey, pool string) *Shard {
+	if key.Pool != pool {
+		key.Pool = pool
+		if s := p.Layout.Shard(key); s != nil && s.Slots > 0 {
+			return s
+		}
+	}
+	return p.Next(key)
+}
--- a/core/state/flow/window.go
+++ b/core/state/flow/window.go
@@ -64,6 +64,18 @@
 	}
 }
 
+// RemoveIf removes the records for which remove is true. The request numbers may be added again.
+func (w *Window) RemoveIf(remove func(*Record) bool) {
+	kept := w.records[:0]
+	for i := range w.records {
+		if !remove(&w.records[i]) {
+			kept = append(kept, w.records[i])
+		}
+	}
+	clear(w.records[len(kept):])
+	w.records = kept
+}
+
 // Export copies the window's contents.
 func (w *Window) Export() (floor uint64, records []Record) {
 	return w.floor, append([]Record(nil), w.records...)
