Refuse waiting requests one service time before their deadline

Cause: a waiting request expired at the caller's own deadline, so its refusal came after the caller had given up, and the outcome was unknown to it. Change: the deadline in the queue is the latest useful start, the caller's deadline less the moving mean of the service time. Attempts still expire at the caller's deadline.

--- a/core/coordination/dispatch/attempts.go
+++ b/core/coordination/dispatch/attempts.go
@@ -106,7 +106,7 @@
 	s.attempts[at.number] = at
 	err := s.out.Backend.Send(a, &packet.Backend{
 		Kind: packet.BackendRun, Service: s.service, Attempt: at.number, Customer: f.customer, Class: f.class,
-		Idempotent: r.Idempotent, Timeout: pe.item.Deadline.Sub(now), Payload: pe.payload,
+		Idempotent: r.Idempotent, Timeout: pe.deadline.Sub(now), Payload: pe.payload,
 	})
 	if err != nil {
 		delete(s.attempts, at.number)
@@ -138,13 +138,14 @@
 		s.giveUp(now, f, r, packet.ReasonRetriesExhausted, flowRetry)
 		return
 	}
-	if !now.Add(delay).Before(pe.item.Deadline) {
+	if !now.Add(delay).Before(s.latestStart(now, pe.deadline)) {
 		s.giveUp(now, f, r, reason, flowRetry)
 		return
 	}
 	s.out.Recorder.Count(metric.Retried, reason.String(), 1)
 	it := *pe.item
 	it.Endpoint = f.endpoint
+	it.Deadline = s.latestStart(now, pe.deadline)
 	pe.item = &it
 	pe.notBefore = now.Add(delay)
 	s.queued[requestKey{it.Flow, it.Request}] = pe
@@ -207,6 +208,7 @@
 		return
 	}
 	s.endpoints.Release(now, address, endpoint.OutcomeAnswered)
+	s.recordService(now.Sub(a.sentAt))
 	f, r := s.target(a)
 	if f == nil {
 		s.drop("late_answer")
@@ -300,13 +302,13 @@
 func (s *Shard) expireAttempts(now time.Time) {
 	for _, number := range slices.Sorted(maps.Keys(s.attempts)) {
 		a := s.attempts[number]
-		if now.Before(a.pending.item.Deadline) {
+		if now.Before(a.pending.deadline) {
 			continue
 		}
 		if !a.settled {
 			s.expireAttempt(now, a)
 		}
-		if now.Sub(a.pending.item.Deadline) >= s.config.AttemptGrace {
+		if now.Sub(a.pending.deadline) >= s.config.AttemptGrace {
 			delete(s.attempts, number)
 			s.endpoints.Release(now, a.endpoint, endpoint.OutcomeFailed)
 		}
--- a/core/coordination/dispatch/requests.go
+++ b/core/coordination/dispatch/requests.go
@@ -20,6 +20,7 @@
 	item       *admission.Item
 	payload    []byte
 	idempotent bool
+	deadline   time.Time // of the caller
 	attempts   int       // attempts so far
 	notBefore  time.Time // earliest time of the next attempt
 }
@@ -63,17 +64,37 @@
 			Class:    f.class,
 			Customer: f.customer,
 			Enqueued: now,
-			Deadline: now.Add(p.Timeout),
+			Deadline: s.latestStart(now, now.Add(p.Timeout)),
 			Endpoint: f.endpoint,
 		},
 		payload:    append([]byte(nil), p.Payload...),
 		idempotent: p.Idempotent,
+		deadline:   now.Add(p.Timeout),
 	}
 	s.out.Recorder.Count(metric.Accepted, f.class.String(), 1)
 	s.budget.AddFresh()
 	s.push(now, pe)
 }
 
+// latestStart returns the latest useful start of a request: its deadline less the mean service time. A refusal at the
+// deadline itself would reach the caller too late, and its request would end as unknown. docs/measurements.md has the
+// figures for longer margins. A timeout that is short compared with the service time keeps half of its length.
+func (s *Shard) latestStart(now, deadline time.Time) time.Time {
+	return deadline.Add(-min(s.meanService, deadline.Sub(now)/2))
+}
+
+// serviceWeight is the weight of one answer in the mean service time.
+const serviceWeight = 1.0 / 32
+
+// recordService takes the time from the dispatch of an attempt to its answer into the mean.
+func (s *Shard) recordService(d time.Duration) {
+	if s.meanService == 0 {
+		s.meanService = d
+		return
+	}
+	s.meanService += time.Duration(float64(d-s.meanService) * serviceWeight)
+}
+
 func (s *Shard) push(now time.Time, pe *pending) {
 	it := pe.item
 	s.queued[requestKey{it.Flow, it.Request}] = pe
--- a/core/coordination/dispatch/shard.go
+++ b/core/coordination/dispatch/shard.go
@@ -146,6 +146,7 @@
 	answerBytes int
 	answers     []settledAnswer // oldest first
 	handover    handoverState
+	meanService time.Duration           // moving mean from dispatch to answer; 0 before the first
 	createdAt   time.Time               // when the first endpoint was added
 	unlisted    map[netip.AddrPort]bool // endpoints no longer in the tables that still have attempts
 	strandedAt  time.Time               // since when no endpoint is usable; zero while one is
