Check the measured targets in tests, and measure in a benchmark

Cause: a change of policy that misses a target must be noticed, and one test for all targets could only be known red as a whole.

--- a/core/coordination/balancer/measure_test.go
+++ b/core/coordination/balancer/measure_test.go
@@ -6,8 +6,10 @@
 	"math"
 	"net/netip"
 	"os"
+	"runtime"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -19,7 +21,7 @@
 )
 
 var (
-	measureFile = flag.String("measure", "", "measure all routing modes and write the table to this file")
+	measureFile = flag.String("measure", "", "file for the figures of BenchmarkPolicy; relative to the package")
 	measureSeed = flag.Uint64("measure.seed", 1, "first seed of the measurements")
 	seedCount   = flag.Int("measure.seeds", 1, "number of seeds; the file has the mean, and the sum of broken flows")
 	modeList    = flag.String("measure.modes", "owner,hash,least_connections", "routing modes to measure into the file")
@@ -42,31 +44,74 @@
 	"brown-out":             measureBrownOut,
 }
 
-// TestMeasure measures the policy, and with -measure the baselines as well.
-func TestMeasure(t *testing.T) {
-	modes := []string{string(dispatch.ModeOwner)}
-	if *measureFile != "" {
-		modes = strings.Split(*modeList, ",")
+// ceilings and floors are the stated targets of the owner mode. The p99 target of a flood is stated per class.
+var ceilings = map[string]float64{
+	"broken: balancers replaced": 0, "broken: endpoints drained": 0, "broken: pool resized": 0,
+	"imbalance: endpoints of 14": 1.10, "imbalance: endpoints of 4": 1.10, "imbalance: customers": 1.10,
+	"flood of bulk: p99 ratio": 2, "flood of urgent: p99 ratio": 2,
+}
+
+var floors = map[string]float64{"flood of bulk: kept": 0.95, "flood of urgent: kept": 0.95}
+
+// checkTargets fails a run that misses a target, so that a change of policy is noticed.
+func checkTargets(t *testing.T, r *result) {
+	for name, figure := range r.Figures {
+		if bound, ok := ceilings[name]; ok && figure > bound {
+			t.Errorf("%s is %.3f, the target is at most %.3f", name, figure, bound)
+		}
+		if bound, ok := floors[name]; ok && figure < bound {
+			t.Errorf("%s is %.3f, the target is at least %.3f", name, figure, bound)
+		}
+	}
+}
+
+// A flow that breaks under a planned change interrupts a feed, or loses the outcome of a request.
+func TestNoFlowBreaksUnderPlannedChange(t *testing.T) {
+	testTargets(t, "broken by replacement", "broken by draining", "broken by resizing")
+}
+
+// Uneven work makes some endpoints or customers slow while others are idle.
+func TestImbalance(t *testing.T) { testTargets(t, "imbalance") }
+
+// A flood of one class must not take what the other classes have within their share.
+func TestFlood(t *testing.T) { testTargets(t, "flood") }
+
+func testTargets(t *testing.T, names ...string) {
+	for _, d := range deployments {
+		for _, name := range names {
+			t.Run(d.name+"/"+name, func(t *testing.T) {
+				t.Parallel()
+				r := &result{d.name, dispatch.ModeOwner, map[string]float64{}}
+				measures[name](r, d, *measureSeed)
+				checkTargets(t, r)
+			})
+		}
 	}
-	var parts []*result
-	t.Run("all", func(t *testing.T) {
+}
+
+// BenchmarkPolicy measures both deployments under all routing modes in simulated time. It writes the file of -measure.
+func BenchmarkPolicy(b *testing.B) {
+	for b.Loop() {
+		var parts []*result
+		var runs sync.WaitGroup
+		room := make(chan struct{}, runtime.GOMAXPROCS(0))
 		for _, d := range deployments {
-			for _, mode := range modes {
-				for name, measure := range measures {
+			for _, mode := range strings.Split(*modeList, ",") {
+				for _, measure := range measures {
 					for seed := *measureSeed; seed < *measureSeed+uint64(*seedCount); seed++ {
 						r := &result{d.name, dispatch.Mode(mode), map[string]float64{}}
 						parts = append(parts, r)
-						t.Run(fmt.Sprintf("%s/%s/%s/%d", d.name, mode, name, seed), func(t *testing.T) {
-							t.Parallel()
+						room <- struct{}{}
+						runs.Go(func() {
 							measure(r, d, seed)
+							<-room
 						})
 					}
 				}
 			}
 		}
-	})
-	if *measureFile != "" {
-		writeResults(t, merge(parts))
+		runs.Wait()
+		writeResults(b, merge(parts))
 	}
 }
 
@@ -89,7 +134,7 @@
 	return merged
 }
 
-func writeResults(t *testing.T, results []*result) {
+func writeResults(b *testing.B, results []*result) {
 	for _, r := range results {
 		for name, figure := range r.Figures {
 			r.Figures[name] = math.Round(figure*1000) / 1000
@@ -97,11 +142,14 @@
 	}
 	out, err := yaml.Marshal(map[string]any{"first_seed": *measureSeed, "seeds": *seedCount, "results": results})
 	if err != nil {
-		t.Fatal(err)
+		b.Fatal(err)
+	}
+	if *measureFile == "" {
+		b.Log(string(out))
+		return
 	}
-	fmt.Print(string(out))
 	if err := os.WriteFile(*measureFile, out, 0o644); err != nil {
-		t.Fatal(err)
+		b.Fatal(err)
 	}
 }
 
