--- a/core/coordination/balancer/failures_test.go
+++ b/core/coordination/balancer/failures_test.go
@@ -293,6 +293,7 @@
 // Failures of any kind, in any order and together, must never make a request run twice or a false "not run" appear,
 // cross or cut an answer, reach another service, or end a feed for good.
 func TestRandomFailures(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(rt *rapid.T) {
 		f := newRandomFleet(rapid.Uint64().Draw(rt, "seed"))
 		f.loss = rapid.Float64Range(0, 0.1).Draw(rt, "loss")
@@ -403,8 +404,10 @@
 
 // No planned change may break a flow: every request is answered, every feed goes on, and no flow is lost by its owner.
 func TestPlannedChangesBreakNothing(t *testing.T) {
+	t.Parallel()
 	for name, change := range planned {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			is := is.New(t)
 			f := newRandomFleet(7)
 			change(f)
--- a/core/coordination/balancer/scripted_test.go
+++ b/core/coordination/balancer/scripted_test.go
@@ -82,6 +82,7 @@
 
 // Copies of a non-idempotent request that reach every balancer at once must run once.
 func TestCopiesThroughEveryBalancerRunOnce(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	f := newRandomFleet(11)
 	s := f.addScript(serviceAddress)
@@ -101,6 +102,7 @@
 
 // Two balancers that each believe they own the flow must not both run its request, before and after their views agree.
 func TestTwoOwnersRunOnce(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	f := newRandomFleet(12)
 	s := f.addScript(serviceAddress)
@@ -134,6 +136,7 @@
 // Requests that arrive everywhere while their flow is being handed over must run once, at one of the two owners, and
 // must not end as unknown: neither owner is lost.
 func TestRequestsDuringHandoverRunOnce(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	f := newRandomFleet(18)
 	f.handover = 300 * time.Millisecond
@@ -160,6 +163,7 @@
 
 // A balancer that resumes after every timeout with a request in its sockets must not run it again elsewhere or twice.
 func TestPausedOwnerRunsOnce(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	f := newRandomFleet(13)
 	s := f.addScript(serviceAddress)
@@ -191,6 +195,7 @@
 // An owner that resumes still holds its flows. It must pass packets under the tickets of the new owner on, and not answer
 // them with unknown as if that owner were lost.
 func TestResumedOwnerPassesOn(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	f := newRandomFleet(19)
 	s := f.addScript(serviceAddress)
@@ -225,6 +230,7 @@
 
 // A process that replaces another one under its host ID must not run requests under tickets of the former.
 func TestReplacementDoesNotRunOldTickets(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	f := newRandomFleet(14)
 	s := f.addScript(serviceAddress)
@@ -250,6 +256,7 @@
 
 // A forged, damaged or misplaced ticket must run nothing and leave no flow behind.
 func TestForgedTicketsRunNothing(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	f := newRandomFleet(15)
 	s := f.addScript(serviceAddress)
@@ -286,6 +293,7 @@
 
 // A request that was refused or cancelled must not run when a delayed copy arrives later.
 func TestLateCopyOfRefusedRequestDoesNotRun(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	f := newRandomFleet(16)
 	s := f.addScript(serviceAddress)
@@ -315,6 +323,7 @@
 // A backend server that says it is leaving gets no new work after the bound, also if the tables never say so, and
 // although flows are pinned to it. backendServer.start reports work after the bound as a fault.
 func TestLeavingBackendGetsNoNewWork(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	f := newRandomFleet(17)
 	for i := range 3 {
