Spread retry times, and do not charge shed requests twice

Cause: callers refused at the same moment were told the same time to try again; a request that was shed or not written was charged a second time to its class and customer when it was queued again. Change: retry times vary between half and one and a half of their mean; such requests are marked as not started.

--- a/core/coordination/dispatch/attempts.go
+++ b/core/coordination/dispatch/attempts.go
@@ -146,6 +146,7 @@
 	it := *pe.item
 	it.Endpoint = f.endpoint
 	it.Deadline = s.latestStart(now, pe.deadline)
+	it.NotStarted = reason == packet.ReasonNoEndpoint // shed, or not written
 	pe.item = &it
 	pe.notBefore = now.Add(delay)
 	s.queued[requestKey{it.Flow, it.Request}] = pe
--- a/core/coordination/dispatch/flows.go
+++ b/core/coordination/dispatch/flows.go
@@ -19,7 +19,7 @@
 // connectGrace is the time that a new shard has to connect to its endpoints before it refuses flows.
 const connectGrace = time.Second
 
-// flowRetry is the time after which a refused open may be tried again.
+// flowRetry is the mean time after which a refused open or request may be tried again.
 const flowRetry = time.Second
 
 // flowState is one flow at its owner.
@@ -130,7 +130,7 @@
 
 func (s *Shard) refuseOpen(from Origin, p *packet.Packet, reason packet.Reason) {
 	s.out.Recorder.Count(metric.Refused, reason.String(), 1)
-	s.sendTo(from, &packet.Packet{Kind: packet.KindNotRun, Flow: p.Flow, Reason: reason, RetryAfter: flowRetry})
+	s.sendTo(from, &packet.Packet{Kind: packet.KindNotRun, Flow: p.Flow, Reason: reason, RetryAfter: s.spread(flowRetry)})
 }
 
 func (s *Shard) addFlow(now time.Time, from Origin, id packet.FlowID, customer string, class packet.Class) *flowState {
--- a/core/coordination/dispatch/requests.go
+++ b/core/coordination/dispatch/requests.go
@@ -132,7 +132,7 @@
 		return
 	}
 	s.settle(now, r, flow.StateRefused)
-	r.Reason, r.RetryAfter = reason, retryAfter
+	r.Reason, r.RetryAfter = reason, s.spread(retryAfter)
 	s.out.Recorder.Count(metric.Refused, reason.String(), 1)
 	s.sendNotRun(f, r)
 }
@@ -162,6 +162,15 @@
 	s.sendCaller(f, p)
 }
 
+// spread varies a retry time between half and one and a half of it. Callers that were refused together would otherwise
+// return together.
+func (s *Shard) spread(d time.Duration) time.Duration {
+	if d <= 0 {
+		return 0
+	}
+	return d/2 + time.Duration(s.random.Int64N(int64(d)))
+}
+
 func (s *Shard) sendNotRun(f *flowState, r *flow.Record) {
 	s.sendCaller(f, &packet.Packet{
 		Kind: packet.KindNotRun, Flow: f.id, Request: r.Request, Reason: r.Reason, RetryAfter: r.RetryAfter,
