Keep the division of pools that a change does not touch

Cause: each table version divided all pools anew; docs/CAPACITY.md names it as the largest cost at the two-year size (1.6 s a change at 130,000 endpoints, 49 % of a core). BenchmarkArrange changes one pool in each version.

--- a/core/coordination/balancer/balancer.go
+++ b/core/coordination/balancer/balancer.go
@@ -137,7 +137,7 @@
 	if x.Tables.Version <= old.Layout.Index.Tables.Version {
 		return false
 	}
-	b.plan.Store(routing.NewPlan(routing.NewLayout(x, b.config.ShardEndpoints), old.View))
+	b.plan.Store(old.WithLayout(old.Layout.Next(x)))
 	b.arrange()
 	return true
 }
--- a/core/coordination/balancer/bench_test.go
+++ b/core/coordination/balancer/bench_test.go
@@ -4,6 +4,7 @@
 	"encoding/binary"
 	"fmt"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -153,6 +154,10 @@
 			for b.Loop() {
 				next, tables := *index, *index.Tables // the version in force must not change
 				tables.Version = x.Version() + 1
+				tables.Pools = slices.Clone(tables.Pools) // each version differs from the one before in one pool
+				changed := &tables.Pools[len(tables.Pools)/2]
+				changed.Endpoints = slices.Clone(changed.Endpoints)
+				changed.Endpoints[0].Slots = 1 + int(tables.Version%3)
 				next.Tables = &tables
 				if !x.SetTables(&next) {
 					b.Fatal("the tables were not taken")
--- a/core/coordination/routing/layout.go
+++ b/core/coordination/routing/layout.go
@@ -34,28 +34,65 @@
 type PoolLayout struct {
 	Pool    string
 	Shards  []*Shard
+	pool    *table.Pool
 	buckets []uint16 // index into Shards
 }
 
 // Layout is the division of all pools of one table version into shards. It never changes after it was built.
 type Layout struct {
-	Index  *table.Index
-	Shards []*Shard
-	pools  map[string]*PoolLayout
-	byKey  map[flow.ShardKey]*Shard
+	Index          *table.Index
+	Shards         []*Shard
+	shardEndpoints int
+	pools          map[string]*PoolLayout
+	byKey          map[flow.ShardKey]*Shard
 }
 
 // NewLayout divides the pools into shards of at most shardEndpoints endpoints, as far as their hashes spread evenly.
 func NewLayout(x *table.Index, shardEndpoints int) *Layout {
-	l := &Layout{
-		Index: x,
-		pools: make(map[string]*PoolLayout, len(x.Tables.Pools)),
-		byKey: make(map[flow.ShardKey]*Shard),
+	return (&Layout{shardEndpoints: shardEndpoints}).Next(x)
+}
+
+// Next divides the pools of the next table version. Pools that did not change keep their division: at the two-year size a
+// change touches one pool of 13,000, and the bucket tables are most of the work.
+func (l *Layout) Next(x *table.Index) *Layout {
+	next := &Layout{
+		Index:          x,
+		Shards:         make([]*Shard, 0, len(l.Shards)),
+		shardEndpoints: l.shardEndpoints,
+		pools:          make(map[string]*PoolLayout, len(x.Tables.Pools)),
+		byKey:          make(map[flow.ShardKey]*Shard, len(l.byKey)),
 	}
 	for i := range x.Tables.Pools {
-		l.addPool(&x.Tables.Pools[i], shardEndpoints)
+		p := &x.Tables.Pools[i]
+		if former := l.pools[p.Name]; former != nil && former.isDivisionOf(p) {
+			next.keepPool(former, p)
+		} else {
+			next.addPool(p)
+		}
 	}
-	return l
+	return next
+}
+
+func (p *PoolLayout) isDivisionOf(pool *table.Pool) bool {
+	return p.pool.Service == pool.Service && slices.Equal(p.pool.Endpoints, pool.Endpoints)
+}
+
+// keepPool takes a pool's division over. The shards are copied, since their numbers belong to one layout.
+func (l *Layout) keepPool(former *PoolLayout, p *table.Pool) {
+	pl := &PoolLayout{Pool: p.Name, Shards: make([]*Shard, len(former.Shards)), pool: p, buckets: former.buckets}
+	shards := make([]Shard, len(former.Shards))
+	for i, s := range former.Shards {
+		shards[i] = *s
+		pl.Shards[i] = &shards[i]
+		l.byKey[s.Key] = &shards[i]
+		l.number(&shards[i])
+	}
+	l.pools[p.Name] = pl
+}
+
+func (l *Layout) number(s *Shard) {
+	s.number = len(l.Shards)
+	l.Shards = append(l.Shards, s)
 }
 
 // Pool returns the layout of a pool, or nil.
@@ -64,17 +101,17 @@
 // Shard returns the shard of a key, or nil.
 func (l *Layout) Shard(key flow.ShardKey) *Shard { return l.byKey[key] }
 
-func (l *Layout) addPool(p *table.Pool, shardEndpoints int) {
+func (l *Layout) addPool(p *table.Pool) {
 	perDomain := map[string]int{}
 	for _, e := range p.Endpoints {
 		perDomain[e.FailureDomain]++
 	}
-	pl := &PoolLayout{Pool: p.Name}
+	pl := &PoolLayout{Pool: p.Name, pool: p}
 	for _, e := range p.Endpoints {
 		key := flow.ShardKey{
 			Pool:          p.Name,
 			FailureDomain: e.FailureDomain,
-			Group:         groupOf(e.Address, groupCount(perDomain[e.FailureDomain], shardEndpoints)),
+			Group:         groupOf(e.Address, groupCount(perDomain[e.FailureDomain], l.shardEndpoints)),
 		}
 		s := l.byKey[key]
 		if s == nil {
@@ -90,8 +127,7 @@
 	slices.SortFunc(pl.Shards, func(a, b *Shard) int { return a.Key.Compare(b.Key) })
 	for _, s := range pl.Shards {
 		slices.SortFunc(s.Endpoints, func(a, b table.Endpoint) int { return a.Address.Compare(b.Address) })
-		s.number = len(l.Shards)
-		l.Shards = append(l.Shards, s)
+		l.number(s)
 	}
 	pl.buckets = fillBuckets(pl.Shards)
 	l.pools[p.Name] = pl
--- a/core/coordination/routing/plan.go
+++ b/core/coordination/routing/plan.go
@@ -53,6 +53,19 @@
 	return p
 }
 
+// WithLayout joins the same view with another layout. Owners that are known already are kept.
+func (p *Plan) WithLayout(l *Layout) *Plan {
+	next := &Plan{
+		Layout: l, View: p.View, domains: p.domains, everyone: p.everyone, owners: make([]atomic.Int32, len(l.Shards)),
+	}
+	for _, s := range l.Shards {
+		if former := p.Layout.byKey[s.Key]; former != nil {
+			next.owners[s.number].Store(p.owners[former.number].Load())
+		}
+	}
+	return next
+}
+
 // Owner returns the member that owns a shard in this plan. The first call for a shard costs one hash for each member of
 // its failure domain; later calls are a lookup.
 func (p *Plan) Owner(s *Shard) (member.Host, bool) {
