--- a/core/state/capacity/roles.go
+++ b/core/state/capacity/roles.go
@@ -92,7 +92,7 @@
 		(*model).plainBytes},
 	{roleRelay, "processor: difference, join, validate, index", percentCore, BudgetCore, "whole tables at each change",
 		func(m *model) float64 { return 100 * m.tableSteps() * m.changeRate() }},
-	{roleRelay, "processor: pool shards and owners", percentCore, BudgetCore, "whole layout at each change",
+	{roleRelay, "processor: pool shards and owners", percentCore, BudgetCore, "changed pools alone; owners are kept",
 		func(m *model) float64 {
 			return 100 / nanos * m.at("arrange_tables", m.Endpoints) * m.changeRate()
 		}},
