Count the pause of a feed that has stopped at the end of a run

Cause: make demo KILL=1 showed 0.11 s as the longest pause although 350 items were missing: a feed that had not resumed by the end of the load had no second item to measure against. Change: the time since the last item counts at the end; demo.sh takes rates, slots and further flags from the environment.

--- a/standin/caller/result.go
+++ b/standin/caller/result.go
@@ -57,7 +57,7 @@
 	Reorders     uint64  `json:"reorders"`   // items with a lower sequence
 	WrongItems   uint64  `json:"wrong_items"`
 	Ended        int     `json:"ended"`         // feeds that ended, paused too long or never had an item
-	LongestPause float64 `json:"longest_pause"` // seconds between two items of a feed
+	LongestPause float64 `json:"longest_pause"` // seconds without an item of a feed, up to the end of the run
 }
 
 // Result is what the callers saw.
--- a/standin/caller/session.go
+++ b/standin/caller/session.go
@@ -146,6 +146,7 @@
 	}
 	r.recorder.update(func(x *Result) { x.Feeds.Opened++ })
 	w := feedWatch{last: 0, at: time.Now()}
+	defer func() { r.recorder.update(func(x *Result) { w.notePause(&x.Feeds, time.Now()) }) }()
 	for {
 		limited, stop := context.WithTimeout(ctx, feedLimit)
 		item, err := d.Next(limited)
@@ -205,6 +206,12 @@
 	if !isRight {
 		x.WrongItems++
 	}
-	x.LongestPause = max(x.LongestPause, now.Sub(w.at).Seconds())
+	w.notePause(x, now)
 	w.last, w.at = max(w.last, sequence), now
 }
+
+// notePause counts the time since the last item, also at the end of the run: a feed that has stopped by then would
+// otherwise show no pause.
+func (w *feedWatch) notePause(x *Feeds, now time.Time) {
+	x.LongestPause = max(x.LongestPause, now.Sub(w.at).Seconds())
+}
--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -9,6 +9,8 @@
 KILL_BALANCER="${KILL_BALANCER:-1}" # index of the balancer that KILL=1 kills
 BASE_PORT="${BASE_PORT:-21000}"
 SECONDS_OF_LOAD="${SECONDS_OF_LOAD:-10}"
+BACKEND_FLAGS="${BACKEND_FLAGS:-}" # further flags of standin backend
+CALLER_FLAGS="${CALLER_FLAGS:-}"   # further flags of standin caller
 READY_LIMIT=30s
 REQUEST_TIMEOUT=5 # seconds
 STOP_LIMIT=10 # seconds until processes that do not stop on SIGTERM are killed
@@ -17,11 +19,11 @@
 DOMAINS=3
 REMINDERS=14
 RENDERING=4
-SLOTS=3
+SLOTS="${SLOTS:-3}"
 CONNECTIONS=2000
 # 70 % of the slots: the mean service time is 40 ms * exp(0.5^2 / 2) = 45.3 ms.
-REMINDERS_RATE=648
-RENDERING_RATE=185
+REMINDERS_RATE="${REMINDERS_RATE:-648}"
+RENDERING_RATE="${RENDERING_RATE:-185}"
 
 HOST=127.0.0.1
 REMINDERS_SERVICE=10.1.0.1:80
@@ -141,7 +143,7 @@
     service=reminders
     if [ "$i" -ge "$REMINDERS" ]; then service=rendering; fi
     start "backend-$i" bin/standin backend --listen "$(endpoint_address "$i")" --control "$(endpoint_control "$i")" \
-      --service "$service" --slots "$SLOTS" --seed 1
+      --service "$service" --slots "$SLOTS" --seed 1 $BACKEND_FLAGS
     backend_urls+=("http://$(endpoint_control "$i")")
   done
 }
@@ -171,7 +173,7 @@
 start caller bin/standin caller --duration "${SECONDS_OF_LOAD}s" --timeout "${REQUEST_TIMEOUT}s" --seed 1 \
   --result "$DIRECTORY/result.json" \
   --target "reminders=$REMINDERS_CALLERS" --rate "reminders=$REMINDERS_RATE" --feeds reminders=12 \
-  --target "rendering=$RENDERING_CALLERS" --rate "rendering=$RENDERING_RATE" --feeds rendering=2
+  --target "rendering=$RENDERING_CALLERS" --rate "rendering=$RENDERING_RATE" --feeds rendering=2 $CALLER_FLAGS
 caller_pid=$last_pid
 checks=(--broken-flows 0 --answered 0.95)
 if [ -n "$KILL" ] && [ "$KILL" != 0 ]; then
