Serve the new service of a pool at once when its service changes

Cause: a local shard kept the service that it was created with. When a pool was given to another service under its name, new flows of the route got tickets of the former service and each of their packets was dropped until the former flows had expired (found by reading; TestPoolChangesService fails before the change). Change: local shards are named by key and service; flows of the former service move to the pool that its route names, or stay without endpoints; a handover is taken only for the same service.

--- a/core/coordination/balancer/balancer.go
+++ b/core/coordination/balancer/balancer.go
@@ -10,10 +10,12 @@
 package balancer
 
 import (
+	"cmp"
 	"maps"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -71,7 +73,7 @@
 	serial atomic.Uint64
 
 	mu       sync.RWMutex // guards the maps; each shard has its own lock
-	shards   map[flow.ShardKey]*dispatch.Shard
+	shards   map[shardID]*dispatch.Shard
 	byNumber map[uint64]*dispatch.Shard
 	number   uint64
 	received map[handoverStream]uint64 // highest handover number taken from each stream
@@ -81,6 +83,17 @@
 	random   *rand.Rand
 }
 
+// shardID names a local shard. A pool may be given to another service under its name; the flows of the former service
+// must never meet the endpoints of the new one.
+type shardID struct {
+	flow.ShardKey
+	service string
+}
+
+func (i shardID) compare(o shardID) int {
+	return cmp.Or(i.ShardKey.Compare(o.ShardKey), strings.Compare(i.service, o.service))
+}
+
 // origin is the last handover that a shard received.
 type origin struct {
 	from member.Incarnation
@@ -111,7 +124,7 @@
 		clock:    clock,
 		out:      out,
 		links:    newLinks(out.Backend),
-		shards:   make(map[flow.ShardKey]*dispatch.Shard),
+		shards:   make(map[shardID]*dispatch.Shard),
 		byNumber: make(map[uint64]*dispatch.Shard),
 		received: make(map[handoverStream]uint64),
 		origins:  make(map[flow.ShardKey]origin),
@@ -170,30 +183,30 @@
 
 func (b *Balancer) arrangeLocal(now time.Time, plan *routing.Plan) {
 	b.arranged = now
-	for _, key := range b.sortedKeys() {
-		b.arrangeShard(now, plan, key, b.shards[key])
+	for _, id := range b.sortedIDs() {
+		b.arrangeShard(now, plan, id, b.shards[id])
 	}
 }
 
-func (b *Balancer) arrangeShard(now time.Time, plan *routing.Plan, key flow.ShardKey, sh *dispatch.Shard) {
+func (b *Balancer) arrangeShard(now time.Time, plan *routing.Plan, id shardID, sh *dispatch.Shard) {
 	sh.AbandonReceivers(func(i member.Incarnation) bool {
 		h, known := plan.View.Lookup(i)
 		return !known || !h.IsReachable()
 	})
-	if key.Pool != "" && b.config.Dispatch.Mode != dispatch.ModeOwner {
-		b.setEndpoints(now, sh, b.poolEndpoints(plan, key.Pool))
+	if b.config.Dispatch.Mode != dispatch.ModeOwner {
+		b.setEndpoints(now, sh, b.poolEndpoints(plan, id))
 		sh.Stay()
 		return
 	}
-	s := plan.Layout.Shard(key)
-	if s == nil {
+	s := plan.Layout.Shard(id.ShardKey)
+	if s == nil || s.Service != id.service {
 		b.setEndpoints(now, sh, nil)
-		b.leaveShard(now, plan, key, sh)
+		b.leaveShard(now, plan, id, sh)
 		return
 	}
 	b.setEndpoints(now, sh, s.Endpoints)
 	if s.Slots == 0 || sh.IsStranded(now) {
-		b.leaveShard(now, plan, key, sh)
+		b.leaveShard(now, plan, id, sh)
 		return
 	}
 	owner, ok := plan.Owner(s)
@@ -201,8 +214,8 @@
 		sh.Stay()
 		return
 	}
-	if b.mayMove(now, key, owner.Incarnation) {
-		sh.MoveTo(now, owner, key)
+	if b.mayMove(now, id.ShardKey, owner.Incarnation) {
+		sh.MoveTo(now, owner, id.ShardKey)
 	}
 }
 
@@ -220,8 +233,8 @@
 
 // leaveShard moves the flows of a shard that has no endpoint for them to another shard of the service. Without one the
 // flows stay until they expire, and their requests are refused. All balancers with the same tables choose the same shard.
-func (b *Balancer) leaveShard(now time.Time, plan *routing.Plan, key flow.ShardKey, sh *dispatch.Shard) {
-	target := plan.Refuge(key, sh.Service())
+func (b *Balancer) leaveShard(now time.Time, plan *routing.Plan, id shardID, sh *dispatch.Shard) {
+	target := plan.Refuge(id.ShardKey, id.service)
 	if target == nil {
 		sh.Stay()
 		return
@@ -245,9 +258,9 @@
 	}
 }
 
-func (b *Balancer) poolEndpoints(plan *routing.Plan, pool string) []table.Endpoint {
-	p := plan.Layout.Index.PoolOf(pool)
-	if p == nil {
+func (b *Balancer) poolEndpoints(plan *routing.Plan, id shardID) []table.Endpoint {
+	p := plan.Layout.Index.PoolOf(id.Pool)
+	if p == nil || p.Service != id.service {
 		return nil
 	}
 	return p.Endpoints
@@ -255,7 +268,8 @@
 
 // shard returns the local shard of a key and creates it if needed. The caller holds the lock.
 func (b *Balancer) shard(key flow.ShardKey, service string) *dispatch.Shard {
-	if sh := b.shards[key]; sh != nil {
+	id := shardID{key, service}
+	if sh := b.shards[id]; sh != nil {
 		return sh
 	}
 	b.number++
@@ -264,7 +278,7 @@
 		Caller: b.out.Caller, Backend: shardLinks{b.links, b.number}, Handover: b.out.Handover, Tickets: b.out.Tickets,
 		Recorder: b.out.Recorder,
 	})
-	b.shards[key] = sh
+	b.shards[id] = sh
 	b.byNumber[b.number] = sh
 	return sh
 }
@@ -311,28 +325,28 @@
 	b.mu.RLock()
 	defer b.mu.RUnlock()
 	list := make([]*dispatch.Shard, 0, len(b.shards))
-	for _, key := range b.sortedKeys() {
-		list = append(list, b.shards[key])
+	for _, id := range b.sortedIDs() {
+		list = append(list, b.shards[id])
 	}
 	return list
 }
 
-// sortedKeys gives the local shards a fixed order, so that a run with the same inputs repeats exactly. The caller holds
+// sortedIDs gives the local shards a fixed order, so that a run with the same inputs repeats exactly. The caller holds
 // the lock.
-func (b *Balancer) sortedKeys() []flow.ShardKey {
-	return slices.SortedFunc(maps.Keys(b.shards), flow.ShardKey.Compare)
+func (b *Balancer) sortedIDs() []shardID {
+	return slices.SortedFunc(maps.Keys(b.shards), shardID.compare)
 }
 
 // closeIdleShards drops shards that this process no longer owns and that have nothing left. The caller holds the lock.
 func (b *Balancer) closeIdleShards(now time.Time) {
 	plan := b.plan.Load()
-	for key, sh := range b.shards {
-		if b.owns(plan, key) || !sh.IsIdle() {
+	for id, sh := range b.shards {
+		if b.owns(plan, id) || !sh.IsIdle() {
 			continue
 		}
 		sh.Close(now)
-		delete(b.shards, key)
-		delete(b.origins, key)
+		delete(b.shards, id)
+		delete(b.origins, id.ShardKey)
 		for n, other := range b.byNumber {
 			if other == sh {
 				delete(b.byNumber, n)
@@ -341,12 +355,13 @@
 	}
 }
 
-func (b *Balancer) owns(plan *routing.Plan, key flow.ShardKey) bool {
+func (b *Balancer) owns(plan *routing.Plan, id shardID) bool {
 	if b.config.Dispatch.Mode != dispatch.ModeOwner {
-		return plan.Layout.Pool(key.Pool) != nil
+		p := plan.Layout.Index.PoolOf(id.Pool)
+		return p != nil && p.Service == id.service
 	}
-	s := plan.Layout.Shard(key)
-	if s == nil {
+	s := plan.Layout.Shard(id.ShardKey)
+	if s == nil || s.Service != id.service {
 		return false
 	}
 	owner, ok := plan.Owner(s)
@@ -376,8 +391,8 @@
 	b.mu.RLock()
 	defer b.mu.RUnlock()
 	loads := make(map[flow.ShardKey]dispatch.Load, len(b.shards))
-	for key, sh := range b.shards {
-		loads[key] = sh.Load()
+	for id, sh := range b.shards {
+		loads[id.ShardKey] = loads[id.ShardKey].Add(sh.Load())
 	}
 	return loads
 }
--- a/core/coordination/balancer/events.go
+++ b/core/coordination/balancer/events.go
@@ -44,14 +44,18 @@
 }
 
 func (b *Balancer) handoverShard(h *flow.Handover) (*dispatch.Shard, error) {
+	if len(h.Flows) == 0 {
+		return nil, &NotReceiverError{To: h.To, Shard: h.Shard}
+	}
+	service := h.Flows[0].Ticket.Service
 	b.mu.RLock()
-	sh := b.shards[h.Shard]
+	sh := b.shards[shardID{h.Shard, service}]
 	b.mu.RUnlock()
 	if sh != nil {
 		return sh, nil
 	}
 	s := b.plan.Load().Layout.Shard(h.Shard)
-	if s == nil {
+	if s == nil || s.Service != service {
 		return nil, &NotReceiverError{To: h.To, Shard: h.Shard}
 	}
 	b.mu.Lock()
--- a/core/coordination/balancer/ingress.go
+++ b/core/coordination/balancer/ingress.go
@@ -152,11 +152,11 @@
 func (b *Balancer) holder(plan *routing.Plan, t *flow.Ticket) *dispatch.Shard {
 	b.mu.RLock()
 	defer b.mu.RUnlock()
-	if sh := b.shards[t.Shard]; sh != nil {
+	if sh := b.shards[shardID{t.Shard, t.Service}]; sh != nil {
 		return sh
 	}
 	if s := plan.ShardOf(t.Shard, t.Shard.Pool); s != nil {
-		return b.shards[s.Key]
+		return b.shards[shardID{s.Key, t.Service}]
 	}
 	return nil
 }
@@ -206,7 +206,7 @@
 		return nil
 	}
 	b.mu.RLock()
-	sh := b.shards[s.Key]
+	sh := b.shards[shardID{s.Key, s.Service}]
 	b.mu.RUnlock()
 	if sh == nil {
 		return s
@@ -223,7 +223,7 @@
 
 func (b *Balancer) localShard(key flow.ShardKey, service string) *dispatch.Shard {
 	b.mu.RLock()
-	sh := b.shards[key]
+	sh := b.shards[shardID{key, service}]
 	b.mu.RUnlock()
 	if sh != nil {
 		return sh
@@ -231,7 +231,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	sh = b.shard(key, service)
-	b.arrangeShard(b.clock.Now(), b.plan.Load(), key, sh)
+	b.arrangeShard(b.clock.Now(), b.plan.Load(), shardID{key, service}, sh)
 	return sh
 }
 
--- a/core/coordination/balancer/scripted_test.go
+++ b/core/coordination/balancer/scripted_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -291,6 +292,32 @@
 	is.Equal(f.faults, nil)
 }
 
+// A pool that is given to another service under its name must serve that service at once, although flows of the former
+// service are still held.
+func TestPoolChangesService(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := newRandomFleet(20)
+	t2 := f.edit()
+	t2.Routes[0].Service, t2.Pools[0].Service = "cards", "cards"
+	for _, e := range t2.Pools[0].Endpoints {
+		s := f.backends[e.Address]
+		s.service = "cards"
+		for _, l := range slices.Clone(s.links) {
+			s.disconnect(l)
+		}
+	}
+	f.publishTables(t2, time.Millisecond, time.Second)
+	f.run(3 * time.Second)
+	c := f.addCaller(serviceAddress, "")
+	d := f.addCaller(serviceAddress, "feed-cards")
+	f.run(10 * time.Second)
+	f.check()
+	is.True(c.answered > 50)
+	is.True(d.delivered > 100)
+	is.Equal(f.faults, nil)
+}
+
 // A request that was refused or cancelled must not run when a delayed copy arrives later.
 func TestLateCopyOfRefusedRequestDoesNotRun(t *testing.T) {
 	t.Parallel()
--- a/core/coordination/dispatch/handover.go
+++ b/core/coordination/dispatch/handover.go
@@ -230,6 +230,10 @@
 }
 
 func (s *Shard) receive(now time.Time, sn *flow.Snapshot) {
+	if sn.Ticket.Service != s.service {
+		s.violation("handover_of_other_service")
+		return
+	}
 	from := Origin{Caller: sn.Caller, Service: sn.Service}
 	f := s.flows[sn.Ticket.Flow]
 	if f == nil {
--- a/core/coordination/dispatch/shard.go
+++ b/core/coordination/dispatch/shard.go
@@ -332,6 +332,13 @@
 	InFlight int `json:"in_flight"`
 }
 
+// Add returns the sum of two loads.
+func (l Load) Add(o Load) Load {
+	return Load{
+		Flows: l.Flows + o.Flows, Feeds: l.Feeds + o.Feeds, Queued: l.Queued + o.Queued, InFlight: l.InFlight + o.InFlight,
+	}
+}
+
 // Load returns the present load.
 func (s *Shard) Load() Load {
 	s.mu.Lock()
