Serve flows again whose handover the receiver refuses for good

Cause: a receiver whose tables had no such shard failed a handover; the sender repeated it for ever and dropped the packets of its flows, since a flow that was sent once may be held by its receiver (found by reading). Change: the addressed incarnation remembers refused messages and says so with an ack without flows; only then the sender takes the flows back. An answer of another incarnation at the same address says nothing, because the former may have run their requests.

--- a/core/coordination/balancer/balancer.go
+++ b/core/coordination/balancer/balancer.go
@@ -76,10 +76,10 @@
 	shards   map[shardID]*dispatch.Shard
 	byNumber map[uint64]*dispatch.Shard
 	number   uint64
-	received map[handoverStream]uint64 // highest handover number taken from each stream
-	origins  map[flow.ShardKey]origin  // the last handover taken for each shard
-	arranged time.Time                 // when the local shards were last compared with the plan
-	leaving  map[netip.AddrPort]bool   // endpoints on hosts that the platform lists as leaving
+	received map[handoverStream]handoverNumbers
+	origins  map[flow.ShardKey]origin // the last handover taken for each shard
+	arranged time.Time                // when the local shards were last compared with the plan
+	leaving  map[netip.AddrPort]bool  // endpoints on hosts that the platform lists as leaving
 	random   *rand.Rand
 }
 
@@ -116,6 +116,13 @@
 	stream uint64
 }
 
+// handoverNumbers are the highest numbers of a stream that were taken and refused. Neither is ever reconsidered: the
+// sender of a refused message serves its flows again.
+type handoverNumbers struct {
+	taken   uint64
+	refused uint64
+}
+
 // New returns a balancer without tables and without a membership view. It drops all packets until it has both.
 func New(self member.Host, config Config, clock Clock, out Outputs) *Balancer {
 	b := &Balancer{
@@ -126,7 +133,7 @@
 		links:    newLinks(out.Backend),
 		shards:   make(map[shardID]*dispatch.Shard),
 		byNumber: make(map[uint64]*dispatch.Shard),
-		received: make(map[handoverStream]uint64),
+		received: make(map[handoverStream]handoverNumbers),
 		origins:  make(map[flow.ShardKey]origin),
 		leaving:  make(map[netip.AddrPort]bool),
 		random:   rand.New(rand.NewPCG(config.Seed, uint64(self.Incarnation))),
--- a/core/coordination/balancer/events.go
+++ b/core/coordination/balancer/events.go
@@ -10,42 +10,56 @@
 	"cornellb/core/state/packet"
 )
 
-// NotReceiverError reports a handover that is meant for another incarnation, or whose target shard is unknown here.
+// NotReceiverError reports a handover that is meant for another incarnation.
 type NotReceiverError struct {
-	To    member.Incarnation
-	Shard flow.ShardKey
+	To member.Incarnation
 }
 
 func (e *NotReceiverError) Error() string {
-	return fmt.Sprintf("handover for incarnation %x, shard %s does not belong here", uint64(e.To), e.Shard)
+	return fmt.Sprintf("handover for incarnation %x does not belong here", uint64(e.To))
 }
 
-// HandleHandover takes flows from their former owner. A nil error confirms that this process holds them now.
+// HandleHandover takes flows from their former owner. A nil error confirms that this process holds them now; a
+// *dispatch.HandoverRefusedError says that it does not and never will. Any other error says nothing: the message was meant
+// for another incarnation, which may have taken a copy.
 func (b *Balancer) HandleHandover(h *flow.Handover) error {
 	if h.To != b.self {
-		return &NotReceiverError{To: h.To, Shard: h.Shard}
+		return &NotReceiverError{To: h.To}
 	}
-	sh, err := b.handoverShard(h)
-	if err != nil {
-		return err
-	}
-	b.mu.Lock()
 	stream := handoverStream{h.From, h.Stream}
-	isNew := h.Number > b.received[stream]
-	if isNew {
-		b.received[stream] = h.Number
-		b.origins[h.Shard] = origin{h.From, b.clock.Now()}
+	b.mu.RLock()
+	numbers := b.received[stream]
+	b.mu.RUnlock()
+	if h.Number <= numbers.taken {
+		return nil
 	}
-	b.mu.Unlock()
-	if isNew {
-		sh.HandleHandover(b.clock.Now(), h)
+	sh, err := b.handoverShard(h)
+	if !b.recordHandover(stream, h, err == nil) {
+		return &dispatch.HandoverRefusedError{Shard: h.Shard}
 	}
+	sh.HandleHandover(b.clock.Now(), h)
 	return nil
 }
 
+// recordHandover settles whether a message is taken. It returns false if it is refused, now or before.
+func (b *Balancer) recordHandover(stream handoverStream, h *flow.Handover, take bool) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	numbers := b.received[stream]
+	if !take || h.Number <= numbers.refused || h.Number <= numbers.taken {
+		numbers.refused = max(numbers.refused, h.Number)
+		b.received[stream] = numbers
+		return false
+	}
+	numbers.taken = h.Number
+	b.received[stream] = numbers
+	b.origins[h.Shard] = origin{h.From, b.clock.Now()}
+	return true
+}
+
 func (b *Balancer) handoverShard(h *flow.Handover) (*dispatch.Shard, error) {
 	if len(h.Flows) == 0 {
-		return nil, &NotReceiverError{To: h.To, Shard: h.Shard}
+		return nil, &dispatch.HandoverRefusedError{Shard: h.Shard}
 	}
 	service := h.Flows[0].Ticket.Service
 	b.mu.RLock()
@@ -56,7 +70,7 @@
 	}
 	s := b.plan.Load().Layout.Shard(h.Shard)
 	if s == nil || s.Service != service {
-		return nil, &NotReceiverError{To: h.To, Shard: h.Shard}
+		return nil, &dispatch.HandoverRefusedError{Shard: h.Shard}
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/core/coordination/balancer/scripted_test.go
+++ b/core/coordination/balancer/scripted_test.go
@@ -12,6 +12,7 @@
 	"cornellb/core/state/flow"
 	"cornellb/core/state/member"
 	"cornellb/core/state/packet"
+	"cornellb/core/state/table"
 )
 
 // script is a caller whose packets the test writes itself.
@@ -292,6 +293,40 @@
 	is.Equal(f.faults, nil)
 }
 
+// A handover to a member whose tables do not have the shard must not strand its flows: the receiver refuses it for good, and
+// the sender serves the flows again and hands them over when the tables agree.
+func TestRefusedHandoverIsTakenBack(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := newRandomFleet(21)
+	s := f.addScript(serviceAddress)
+	s.open(is)
+	owner := f.ownerOf(s.ticket)
+	renamed := f.edit()
+	renamed.Version = f.tables.Version + 1
+	for i := range 100 { // until the shard has another owner under its new name
+		name := fmt.Sprintf("renamed-%d", i)
+		renamed.Routes[0].Pool, renamed.Pools[0].Name = name, name
+		plan := owner.b.Plan().WithLayout(owner.b.Plan().Layout.Next(table.NewIndex(&renamed)))
+		key := flow.ShardKey{Pool: name, FailureDomain: owner.host.FailureDomain}
+		if next, _ := plan.Owner(plan.Layout.Shard(key)); next.Incarnation != owner.host.Incarnation {
+			break
+		}
+	}
+	owner.b.SetTables(table.NewIndex(&renamed)) // the others have the former tables for 5 s
+	f.run(5 * time.Second)
+	is.True(f.counts["dropped/handover_refused"] > 0)
+	f.publishTables(renamed, time.Millisecond, 10*time.Millisecond)
+	f.run(3 * time.Second)
+	for r := uint64(1); r <= 3; r++ {
+		s.send(s.edit(r, time.Second))
+		f.run(500 * time.Millisecond)
+		is.Equal(s.outcomes(r), map[packet.Kind]bool{packet.KindAnswer: true})
+		is.Equal(f.runs[fmt.Sprintf("edit-%d", r)], 1)
+	}
+	is.Equal(f.faults, nil)
+}
+
 // A pool that is given to another service under its name must serve that service at once, although flows of the former
 // service are still held.
 func TestPoolChangesService(t *testing.T) {
--- a/core/coordination/dispatch/handover.go
+++ b/core/coordination/dispatch/handover.go
@@ -1,10 +1,13 @@
 package dispatch
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"cornellb/core/state/flow"
 	"cornellb/core/state/member"
 	"cornellb/core/state/metric"
@@ -22,6 +25,18 @@
 	to          member.Host // zero incarnation: the shard stays
 	target      flow.ShardKey
 	outstanding map[member.Incarnation]*outstandingHandover
+	pausedTill  time.Time // after a refusal
+}
+
+// HandoverRefusedError is the word of the addressed incarnation that it did not take a message and never will, because its
+// tables do not have the shard. Only then may the sender serve the flows again: after any other failure the receiver may
+// hold them, and may have run their requests.
+type HandoverRefusedError struct {
+	Shard flow.ShardKey
+}
+
+func (e *HandoverRefusedError) Error() string {
+	return fmt.Sprintf("handover refused: shard %s is not in the tables of the receiver", e.Shard)
 }
 
 // outstandingHandover is a message that its receiver has not confirmed. It is sent again unchanged.
@@ -110,7 +125,7 @@
 			s.sendHandover(now, o)
 		}
 	}
-	if !h.isActive() || h.outstanding[h.to.Incarnation] != nil {
+	if !h.isActive() || h.outstanding[h.to.Incarnation] != nil || now.Before(h.pausedTill) {
 		return
 	}
 	flows := s.nextBatch(now)
@@ -188,6 +203,11 @@
 	if o == nil || o.message.Number != h.Number {
 		return
 	}
+	var refused *HandoverRefusedError
+	if errors.As(err, &refused) {
+		s.takeBack(now, h)
+		return
+	}
 	if err != nil {
 		s.drop("handover_failed") // sent again at resendAt
 		return
@@ -197,6 +217,18 @@
 	s.continueHandover(now)
 }
 
+// takeBack serves the flows of a refused message here again.
+func (s *Shard) takeBack(now time.Time, h *flow.Handover) {
+	s.drop("handover_refused")
+	delete(s.handover.outstanding, h.To)
+	s.handover.pausedTill = now.Add(s.config.HandoverInterval)
+	for i := range h.Flows {
+		if f := s.flows[h.Flows[i].Ticket.Flow]; f != nil && f.sentTo == h.To {
+			f.sentTo = 0
+		}
+	}
+}
+
 func (s *Shard) removeSent(h *flow.Handover) (removed int64) {
 	for i := range h.Flows {
 		if f := s.flows[h.Flows[i].Ticket.Flow]; f != nil && f.sentTo == h.To {
--- a/core/state/flow/handover.go
+++ b/core/state/flow/handover.go
@@ -5,8 +5,8 @@
 	"cornellb/core/state/packet"
 )
 
-// HandoverAck lists the flows of a Handover that the receiver holds from now on. Flows that are not listed stay with
-// the sender, which sends them to the same incarnation again.
+// HandoverAck lists the flows of a Handover that the receiver holds from now on: all of them, or none if it refuses the
+// message for good, so that the sender serves them again.
 type HandoverAck struct {
 	By    member.Incarnation // the receiver; the sender ignores an ack of another incarnation
 	Flows []packet.FlowID
--- a/io/transport/host/events.go
+++ b/io/transport/host/events.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"cornellb/core/coordination/configuration"
+	"cornellb/core/coordination/dispatch"
 	"cornellb/core/state/flow"
 	"cornellb/core/state/member"
 	"cornellb/core/state/metric"
@@ -91,7 +92,14 @@
 	s.h.work.Go(func() {
 		ctx, cancel := context.WithTimeout(s.h.ctx, callTimeout)
 		defer cancel()
-		_, err := s.h.peer.SendHandover(ctx, to.Address, m)
+		ack, err := s.h.peer.SendHandover(ctx, to.Address, m)
+		switch {
+		case err != nil:
+		case ack.By != m.To:
+			err = errors.Errorf("incarnation %x answered for %x", uint64(ack.By), uint64(m.To))
+		case len(ack.Flows) == 0:
+			err = &dispatch.HandoverRefusedError{Shard: m.Shard}
+		}
 		s.h.balancer.HandoverDone(m, err)
 	})
 }
@@ -100,10 +108,15 @@
 type handoverHandler struct{ h *Host }
 
 func (x handoverHandler) HandleHandover(_ context.Context, m *flow.Handover) (*flow.HandoverAck, error) {
-	if err := x.h.balancer.HandleHandover(m); err != nil {
+	ack := &flow.HandoverAck{By: x.h.self.Incarnation}
+	err := x.h.balancer.HandleHandover(m)
+	var refused *dispatch.HandoverRefusedError
+	if errors.As(err, &refused) {
+		return ack, nil // without flows: none of them is held here
+	}
+	if err != nil {
 		return nil, err
 	}
-	ack := &flow.HandoverAck{By: x.h.self.Incarnation}
 	for i := range m.Flows {
 		ack.Flows = append(ack.Flows, m.Flows[i].Ticket.Flow)
 	}
