--- a/core/coordination/balancer/balancer.go
+++ b/core/coordination/balancer/balancer.go
@@ -208,12 +208,12 @@
 	s := plan.Layout.Shard(id.ShardKey)
 	if s == nil || s.Service != id.service {
 		b.setEndpoints(now, sh, nil)
-		b.leaveShard(now, plan, id, sh)
+		b.moveToFallback(now, plan, id, sh)
 		return
 	}
 	b.setEndpoints(now, sh, s.Endpoints)
-	if s.Slots == 0 || sh.IsStranded(now) {
-		b.leaveShard(now, plan, id, sh)
+	if s.Slots == 0 || sh.HasNoUsableEndpoint(now) {
+		b.moveToFallback(now, plan, id, sh)
 		return
 	}
 	owner, ok := plan.Owner(s)
@@ -238,10 +238,10 @@
 	return now.Sub(o.at) >= dwellTime
 }
 
-// leaveShard moves the flows of a shard that has no endpoint for them to another shard of the service. Without one the
+// moveToFallback moves the flows of a shard that has no endpoint for them to another shard of the service. Without one the
 // flows stay until they expire, and their requests are refused. All balancers with the same tables choose the same shard.
-func (b *Balancer) leaveShard(now time.Time, plan *routing.Plan, id shardID, sh *dispatch.Shard) {
-	target := plan.Refuge(id.ShardKey, id.service)
+func (b *Balancer) moveToFallback(now time.Time, plan *routing.Plan, id shardID, sh *dispatch.Shard) {
+	target := plan.Fallback(id.ShardKey, id.service)
 	if target == nil {
 		sh.Stay()
 		return
--- a/core/coordination/balancer/failures_test.go
+++ b/core/coordination/balancer/failures_test.go
@@ -371,7 +371,7 @@
 		f.publishTables(t, time.Millisecond, 2*time.Second)
 		f.run(8 * time.Second)
 	},
-	"all backend servers of a failure domain leave by their own word": func(f *fleet) {
+	"all backend servers of a failure domain report that they are leaving": func(f *fleet) {
 		for _, e := range f.tables.Pools[0].Endpoints {
 			if e.FailureDomain == domains[1] {
 				s := f.backends[e.Address]
--- a/core/coordination/balancer/peers_test.go
+++ b/core/coordination/balancer/peers_test.go
@@ -127,13 +127,13 @@
 		delete(s.running, key)
 		if l.server == s && l.epoch == epoch {
 			l.reply(&packet.Backend{Kind: packet.BackendAnswer, Attempt: m.Attempt, Payload: answerTo(m.Payload)})
-			s.confuse(l, m.Attempt)
+			s.sendStrayAnswers(l, m.Attempt)
 		}
 	})
 }
 
-// confuse sends a second answer, and one to an attempt of another backend server, now and then. Both must be dropped.
-func (s *backendServer) confuse(l *link, attempt uint64) {
+// sendStrayAnswers sends a second answer, and one to an attempt of another backend server, now and then. Both must be dropped.
+func (s *backendServer) sendStrayAnswers(l *link, attempt uint64) {
 	if s.w.random.IntN(20) > 0 {
 		return
 	}
--- a/core/coordination/dispatch/handover.go
+++ b/core/coordination/dispatch/handover.go
@@ -28,8 +28,8 @@
 	pausedTill  time.Time // after a refusal
 }
 
-// HandoverRefusedError is the word of the addressed incarnation that it did not take a message and never will, because its
-// tables do not have the shard. Only then may the sender serve the flows again: after any other failure the receiver may
+// HandoverRefusedError reports that the addressed incarnation did not take a message and never will, because its tables do
+// not have the shard. Only then may the sender serve the flows again: after any other failure the receiver may
 // hold them, and may have run their requests.
 type HandoverRefusedError struct {
 	Shard flow.ShardKey
--- a/core/coordination/dispatch/shard.go
+++ b/core/coordination/dispatch/shard.go
@@ -126,33 +126,33 @@
 	config  Config
 	out     Outputs
 
-	mu          sync.Mutex
-	random      *rand.Rand
-	queue       *admission.Queue
-	endpoints   *endpoint.Set
-	budget      *endpoint.RetryBudget
-	flows       map[packet.FlowID]*flowState
-	all         flowList
-	feeds       flowList
-	unacked     flowList
-	expiryNext  int // place in all where the next scan for idle flows begins
-	attempts    map[uint64]*attempt
-	streams     map[uint64]*flowState
-	queued      map[requestKey]*pending // waiting requests, in the queue or delayed
-	delayed     []*pending              // retries in their backoff
-	base        uint64                  // shard number in the high bits
-	last        uint64                  // last attempt or stream number
-	serial      *atomic.Uint64
-	answerBytes int
-	answers     []settledAnswer // oldest first
-	handover    handoverState
-	meanService time.Duration           // moving mean from dispatch to answer; 0 before the first
-	createdAt   time.Time               // when the first endpoint was added
-	unlisted    map[netip.AddrPort]bool // endpoints no longer in the tables that still have attempts
-	strandedAt  time.Time               // since when no endpoint is usable; zero while one is
-	eventAt     time.Time               // last event
-	catchUpTill time.Time               // no work is sent before
-	closed      bool                    // no endpoint is left and no new work is taken
+	mu            sync.Mutex
+	random        *rand.Rand
+	queue         *admission.Queue
+	endpoints     *endpoint.Set
+	budget        *endpoint.RetryBudget
+	flows         map[packet.FlowID]*flowState
+	all           flowList
+	feeds         flowList
+	unacked       flowList
+	expiryNext    int // place in all where the next scan for idle flows begins
+	attempts      map[uint64]*attempt
+	streams       map[uint64]*flowState
+	queued        map[requestKey]*pending // waiting requests, in the queue or delayed
+	delayed       []*pending              // retries in their backoff
+	base          uint64                  // shard number in the high bits
+	last          uint64                  // last attempt or stream number
+	serial        *atomic.Uint64
+	answerBytes   int
+	answers       []settledAnswer // oldest first
+	handover      handoverState
+	meanService   time.Duration           // moving mean from dispatch to answer; 0 before the first
+	createdAt     time.Time               // when the first endpoint was added
+	unlisted      map[netip.AddrPort]bool // endpoints no longer in the tables that still have attempts
+	unusableSince time.Time               // since when no endpoint is usable; zero while one is
+	eventAt       time.Time               // last event
+	catchUpTill   time.Time               // no work is sent before
+	closed        bool                    // no endpoint is left and no new work is taken
 }
 
 type requestKey struct {
@@ -304,24 +304,24 @@
 	s.watchEndpoints(now)
 }
 
-// strandedTime is the time without a usable endpoint after which a shard's flows should move to another shard. It is
+// unusableTime is the time without a usable endpoint after which a shard's flows should move to another shard. It is
 // longer than a reconnection takes.
-const strandedTime = 2 * time.Second
+const unusableTime = 2 * time.Second
 
 func (s *Shard) watchEndpoints(now time.Time) {
 	switch {
 	case s.endpoints.AnyUsable():
-		s.strandedAt = time.Time{}
-	case s.strandedAt.IsZero():
-		s.strandedAt = now
+		s.unusableSince = time.Time{}
+	case s.unusableSince.IsZero():
+		s.unusableSince = now
 	}
 }
 
-// IsStranded reports whether the shard has had no usable endpoint for some time.
-func (s *Shard) IsStranded(now time.Time) bool {
+// HasNoUsableEndpoint reports whether the shard has had no usable endpoint for some time.
+func (s *Shard) HasNoUsableEndpoint(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return !s.strandedAt.IsZero() && now.Sub(s.strandedAt) >= strandedTime
+	return !s.unusableSince.IsZero() && now.Sub(s.unusableSince) >= unusableTime
 }
 
 // Load is a summary of a shard for status and tests.
--- a/core/coordination/routing/plan.go
+++ b/core/coordination/routing/plan.go
@@ -126,9 +126,9 @@
 	return s
 }
 
-// Refuge returns the shard that takes the flows of a shard without endpoints, or nil. If the shard's pool is gone or
+// Fallback returns the shard that takes the flows of a shard without endpoints, or nil. If the shard's pool is gone or
 // serves another service now, it is in the pool that the service's route names.
-func (p *Plan) Refuge(key flow.ShardKey, service string) *Shard {
+func (p *Plan) Fallback(key flow.ShardKey, service string) *Shard {
 	if pool := p.Layout.Index.PoolOf(key.Pool); pool != nil && pool.Service == service {
 		return p.Next(key)
 	}
