--- a/core/coordination/balancer/scripted_test.go
+++ b/core/coordination/balancer/scripted_test.go
@@ -38,6 +38,14 @@
 	return s
 }
 
+// newScriptedFleet starts a fleet and a script with an open flow.
+func newScriptedFleet(is *is.I, seed uint64) (*fleet, *script) {
+	f := newRandomFleet(seed)
+	s := f.addScript(serviceAddress)
+	s.open(is)
+	return f, s
+}
+
 func (s *script) open(is *is.I) {
 	s.send(packet.Packet{Kind: packet.KindOpen, Customer: "customer-1", Timeout: time.Second})
 	s.w.run(100 * time.Millisecond)
@@ -86,9 +94,7 @@
 func TestCopiesThroughEveryBalancerRunOnce(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
-	f := newRandomFleet(11)
-	s := f.addScript(serviceAddress)
-	s.open(is)
+	f, s := newScriptedFleet(is, 11)
 	for r := uint64(1); r <= 20; r++ {
 		for range 3 {
 			for _, n := range f.nodes {
@@ -106,9 +112,7 @@
 func TestTwoOwnersRunOnce(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
-	f := newRandomFleet(12)
-	s := f.addScript(serviceAddress)
-	s.open(is)
+	f, s := newScriptedFleet(is, 12)
 	owner := f.ownerOf(s.ticket)
 	// Every other member takes the owner for dead; the owner believes itself alive.
 	f.publishViewsOf(func(observer, target *node) member.State {
@@ -140,10 +144,8 @@
 func TestRequestsDuringHandoverRunOnce(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
-	f := newRandomFleet(18)
+	f, s := newScriptedFleet(is, 18)
 	f.handover = 300 * time.Millisecond
-	s := f.addScript(serviceAddress)
-	s.open(is)
 	f.drain(f.ownerOf(s.ticket))
 	for r := uint64(1); r <= 30; r++ {
 		request := s.edit(r, 2*time.Second)
@@ -167,9 +169,7 @@
 func TestPausedOwnerRunsOnce(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
-	f := newRandomFleet(13)
-	s := f.addScript(serviceAddress)
-	s.open(is)
+	f, s := newScriptedFleet(is, 13)
 	owner := f.ownerOf(s.ticket)
 	owner.isPaused = true
 	request := s.edit(1, 30*time.Second)
@@ -199,9 +199,7 @@
 func TestResumedOwnerPassesOn(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
-	f := newRandomFleet(19)
-	s := f.addScript(serviceAddress)
-	s.open(is)
+	f, s := newScriptedFleet(is, 19)
 	owner := f.ownerOf(s.ticket)
 	owner.isPaused = true
 	// The others take the owner for dead. Its own view is the old one also after its pause, so that it keeps its flows.
@@ -234,9 +232,7 @@
 func TestReplacementDoesNotRunOldTickets(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
-	f := newRandomFleet(14)
-	s := f.addScript(serviceAddress)
-	s.open(is)
+	f, s := newScriptedFleet(is, 14)
 	owner := f.ownerOf(s.ticket)
 	request := s.edit(1, 20*time.Second)
 	s.sendTo(owner, serviceAddress, request)
@@ -260,9 +256,7 @@
 func TestForgedTicketsRunNothing(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
-	f := newRandomFleet(15)
-	s := f.addScript(serviceAddress)
-	s.open(is)
+	f, s := newScriptedFleet(is, 15)
 	flows := func() int {
 		n := 0
 		for _, x := range f.nodes {
@@ -298,9 +292,7 @@
 func TestRefusedHandoverIsTakenBack(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
-	f := newRandomFleet(21)
-	s := f.addScript(serviceAddress)
-	s.open(is)
+	f, s := newScriptedFleet(is, 21)
 	owner := f.ownerOf(s.ticket)
 	renamed := f.edit()
 	renamed.Version = f.tables.Version + 1
@@ -357,9 +349,7 @@
 func TestLateCopyOfRefusedRequestDoesNotRun(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
-	f := newRandomFleet(16)
-	s := f.addScript(serviceAddress)
-	s.open(is)
+	f, s := newScriptedFleet(is, 16)
 	owner := f.ownerOf(s.ticket)
 	s.sendTo(owner, serviceAddress, s.edit(1, 0)) // its deadline has passed
 	s.sendTo(owner, serviceAddress, packet.Packet{Kind: packet.KindCancel, Ticket: s.ticket, Request: 2})
--- a/core/coordination/dispatch/flows.go
+++ b/core/coordination/dispatch/flows.go
@@ -200,8 +200,8 @@
 	}
 }
 
-// adopt recreates a flow from its ticket. The new grant makes the old ticket foreign, so that a non-idempotent request
-// under it is never run here: the former owner may have run it.
+// adopt recreates a flow from its ticket. The new grant makes the old ticket foreign, so that no request under it is run
+// here: the former owner may have run it.
 func (s *Shard) adopt(now time.Time, from Origin, t *flow.Ticket, p *packet.Packet) *flowState {
 	switch p.Kind {
 	case packet.KindRequest, packet.KindSubscribe, packet.KindPing:
