Forward opaque packets to endpoints that answer the clients directly

Cause: cornellb spoke only its own request protocol; on the users' platform clients and endpoints exchange opaque packets of flows, and nothing of the system runs beside the endpoints.

Change: core/state/directory holds routes, endpoints and the cookie that names an endpoint; core/coordination/discovery merges configuration and registrations; core/coordination/steering places new flows and passes later packets on by their cookie; io/transport/direct runs the sockets and the reads of the store; platform/ translates settings, packets and objects. The platform client exports one call, so that both modes use the same one.

--- a/command/root.go
+++ b/command/root.go
@@ -27,14 +27,15 @@
 
 // subcommands is the index of the program.
 var subcommands = map[string]func() *cobra.Command{
-	"balancer": newBalancerCommand,
-	"apply":    newApplyCommand,
-	"capacity": newCapacityCommand,
-	"check":    newCheckCommand,
-	"get":      newGetCommand,
-	"status":   newStatusCommand,
-	"version":  newVersionCommand,
-	"watch":    newWatchCommand,
+	"balancer":  newBalancerCommand,
+	"apply":     newApplyCommand,
+	"capacity":  newCapacityCommand,
+	"forwarder": newForwarderCommand,
+	"check":     newCheckCommand,
+	"get":       newGetCommand,
+	"status":    newStatusCommand,
+	"version":   newVersionCommand,
+	"watch":     newWatchCommand,
 }
 
 // InputError reports settings, tables or arguments that the user has to correct.
--- /dev/null
+++ b/core/coordination/steering/flow.go
@@ -0,0 +1,207 @@
+package steering
+
+import (
+	"encoding/binary"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// DefaultMaxFlows bounds the memory for tracked flows to about 20 MB. The two-year size has 16,000 flows on each
+	// balancer.
+	DefaultMaxFlows = 65536
+	// confirmedFor is how long the configuration counts as the newest after it was read. It is longer than the interval
+	// of the reads.
+	confirmedFor = 2 * time.Second
+	// answerTime is the time in which an endpoint that lives answers an opening packet. Clients repeat the packet after
+	// 200 ms; the longest way between failure domains takes some 10 ms there and back.
+	answerTime = 150 * time.Millisecond
+	// openTime is the time after which a client has given up to open a flow, 1.4 s, with a margin.
+	openTime = 2 * time.Second
+	// sweepInterval is the time between two searches for flows that have ended unseen.
+	sweepInterval = time.Second
+	// defaultIdle is used if the configuration sets no idle timeout.
+	defaultIdle = 60 * time.Second
+)
+
+// flow is what a balancer remembers of a flow whose packets it passes on. It serves to count load and to judge
+// endpoints; forwarding works without it.
+type flow struct {
+	server       *server
+	openedAt     time.Time // of the opening packet that was last sent to the server; zero if another balancer got it
+	isOpening    bool      // nothing was heard from the client since the opening packet
+	seenAt       time.Time
+	sentAt       time.Time // of the oldest data that is not answered; zero if there is none
+	sequence     uint32    // of that data
+	acknowledged uint32
+	isBlamed     bool // counted as a failure of the server already, until the next progress
+}
+
+// fraction maps a flow to [0, 1).
+func fraction(k FlowKey) float64 {
+	var b [36]byte
+	c, s := k.Client.Addr().As16(), k.Service.Addr().As16()
+	copy(b[:16], c[:])
+	copy(b[16:32], s[:])
+	binary.BigEndian.PutUint16(b[32:], k.Client.Port())
+	binary.BigEndian.PutUint16(b[34:], k.Service.Port())
+	return float64(xxhash.Sum64(b[:])>>11) / (1 << 53)
+}
+
+// repeated handles a copy of an opening packet. It returns the server that the flow stays with, or nil and true if the
+// server did not answer in time and another one should be chosen.
+func (f *Forwarder) repeated(now time.Time, p *Packet) (*server, bool) {
+	w := f.flows[p.Flow]
+	if w == nil || !w.isOpening || w.sequence != p.Sequence {
+		return nil, false
+	}
+	v := w.server
+	if now.Sub(w.openedAt) < answerTime {
+		return v, true // the packets were held up on the way; the server had no time to answer
+	}
+	if v.progressAt.After(w.openedAt) && v.endpoint.IsOpen() {
+		return v, true // a packet was lost
+	}
+	if !w.isBlamed {
+		w.isBlamed = true
+		v.fail(now)
+	}
+	return nil, true
+}
+
+// track notes the opening packet of a flow.
+func (f *Forwarder) track(now time.Time, p *Packet, v *server) {
+	w := f.flows[p.Flow]
+	if w == nil {
+		if len(f.flows) >= f.config.MaxFlows {
+			return
+		}
+		w = &flow{}
+		f.flows[p.Flow] = w
+	}
+	if w.server != v || !w.isOpening {
+		f.leave(w)
+		*w = flow{server: v, isOpening: true, openedAt: now, sequence: p.Sequence}
+		v.flows++
+		v.opening++
+	}
+	w.seenAt = now
+}
+
+// leave takes a flow out of the counts of its server.
+func (f *Forwarder) leave(w *flow) {
+	if w.server == nil {
+		return
+	}
+	w.server.flows--
+	if w.isOpening {
+		w.server.opening--
+	}
+	if !w.sentAt.IsZero() {
+		w.server.waiting--
+	}
+	w.server = nil
+}
+
+func (f *Forwarder) forget(k FlowKey) {
+	if w := f.flows[k]; w != nil {
+		f.leave(w)
+		delete(f.flows, k)
+	}
+}
+
+// observe updates load and evidence with a later packet of a flow.
+func (f *Forwarder) observe(now time.Time, p *Packet, v *server) {
+	if p.IsClosing {
+		if w := f.flows[p.Flow]; w != nil && w.isOpening {
+			v.progress(now)
+		}
+		f.forget(p.Flow)
+		return
+	}
+	w := f.flows[p.Flow]
+	if w == nil || w.server != v {
+		w = f.adopt(p, v)
+		if w == nil {
+			return
+		}
+	}
+	w.seenAt = now
+	switch {
+	case w.isOpening:
+		w.isOpening, w.isBlamed = false, false
+		v.opening--
+		w.acknowledged = p.Acknowledgment
+		v.progress(now)
+	case int32(p.Acknowledgment-w.acknowledged) > 0:
+		w.acknowledged, w.isBlamed = p.Acknowledgment, false
+		v.progress(now)
+		w.answered(v)
+	}
+	if p.Length > 0 {
+		f.sent(now, p, w)
+	}
+}
+
+// adopt begins to track a flow that another balancer opened, or that was not tracked. Only data makes it worth it: the
+// last acknowledgements of a flow arrive after its end.
+func (f *Forwarder) adopt(p *Packet, v *server) *flow {
+	if p.Length == 0 || len(f.flows) >= f.config.MaxFlows {
+		return nil
+	}
+	f.forget(p.Flow)
+	w := &flow{server: v, acknowledged: p.Acknowledgment}
+	f.flows[p.Flow] = w
+	v.flows++
+	return w
+}
+
+// sent notes data on its way to the server. The same data again means that the client has heard nothing.
+func (f *Forwarder) sent(now time.Time, p *Packet, w *flow) {
+	v := w.server
+	if w.sentAt.IsZero() {
+		w.sentAt, w.sequence = now, p.Sequence
+		v.waiting++
+		return
+	}
+	if p.Sequence != w.sequence || now.Sub(w.sentAt) < answerTime {
+		return
+	}
+	if !w.isBlamed && !v.progressAt.After(w.sentAt) {
+		w.isBlamed = true
+		v.fail(now)
+	}
+}
+
+// answered ends the wait for an answer.
+func (w *flow) answered(v *server) {
+	if !w.sentAt.IsZero() {
+		w.sentAt = time.Time{}
+		v.waiting--
+	}
+}
+
+// Tick forgets flows that have ended unseen.
+func (f *Forwarder) Tick(now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if now.Sub(f.swept) < sweepInterval {
+		return
+	}
+	f.swept = now
+	idle := time.Duration(defaultIdle)
+	if f.snapshot != nil && f.snapshot.Configuration.IdleTimeout > 0 {
+		idle = f.snapshot.Configuration.IdleTimeout
+	}
+	for k, w := range f.flows {
+		limit := idle
+		if w.isOpening {
+			limit = openTime
+		}
+		if now.Sub(w.seenAt) > limit {
+			f.leave(w)
+			delete(f.flows, k)
+		}
+	}
+}
--- /dev/null
+++ b/core/state/directory/directory.go
@@ -0,0 +1,174 @@
+// Package directory holds what a balancer knows in the direct return mode: the routes of one configuration version, and
+// the endpoints that registered themselves.
+//
+// In this mode a balancer passes opaque packets on to endpoints, and the endpoints answer the clients directly. The
+// balancer keeps no flow state that forwarding needs: the first packet of a flow gets a cookie that names the endpoint,
+// the endpoint and the client repeat the cookie in all later packets, and every balancer finds the endpoint by it.
+//
+// # Usage
+//
+// core/coordination/discovery builds a Snapshot whenever something changed and publishes it. A Snapshot never changes
+// after NewSnapshot, so the data path reads it without a lock:
+//
+//	s := directory.NewSnapshot(configuration, former, endpoints)
+//	route := s.RouteOf(address)
+//	candidates := s.EndpointsOf(route.Targets[0].Service)
+//	cookie := s.CookieOf(candidates[0])
+//	endpoint := s.ByCookie(cookie, service)
+package directory
+
+import (
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Target is a service that a route sends new flows to, with its share of them.
+type Target struct {
+	Service string
+	Weight  float64 // relative to the other targets of the route, above 0
+}
+
+// Route sends the new flows of one service address to one or more services.
+type Route struct {
+	Name    string
+	Address netip.AddrPort // destination of the clients' packets
+	Targets []Target       // at least one
+}
+
+// Allows reports whether the route sends new flows to a service.
+func (r *Route) Allows(service string) bool {
+	return slices.ContainsFunc(r.Targets, func(t Target) bool { return t.Service == service })
+}
+
+// Configuration is one version of what the operator has set.
+type Configuration struct {
+	Version     uint64 // rises with each change, not always by one; 0 means that there is none yet
+	Routes      []Route
+	IdleTimeout time.Duration // flows without packets for longer may be forgotten; 0 if not set
+}
+
+// Endpoint is one incarnation of a backend server that registered itself.
+type Endpoint struct {
+	ID            string // the registered name
+	Number        uint64 // the number that the endpoint checks on each datagram; 0 is not allowed
+	Service       string
+	FailureDomain string
+	Address       netip.AddrPort // takes datagrams
+	Slots         int            // requests at a time
+	IsLeaving     bool           // keeps its flows and gets no new ones
+	IsGone        bool           // no longer registered: keeps its flows, gets no new ones
+	StartedAt     int64          // Unix time in ms, by the endpoint's clock; another value is another incarnation
+	WarmAt        time.Time      // until then the endpoint serves more slowly
+}
+
+// IsOpen reports whether the endpoint may get new flows.
+func (e *Endpoint) IsOpen() bool { return !e.IsLeaving && !e.IsGone }
+
+// variants is the number of cookies that each endpoint may have. A second one is needed only where the first is also
+// the cookie of another endpoint.
+const variants = 2
+
+// slot lists the endpoints of one cookie: one, or on a collision more.
+type slot struct {
+	first  *Endpoint
+	others []*Endpoint
+}
+
+// Snapshot is an immutable set of lookups over one configuration version and a set of endpoints.
+type Snapshot struct {
+	Configuration *Configuration
+	routes        map[netip.AddrPort]*Route
+	former        map[netip.AddrPort][]string // services of earlier versions by service address
+	cookies       map[uint32]slot
+	services      map[string][]*Endpoint
+	endpoints     []*Endpoint
+}
+
+// NewSnapshot builds the lookups. former lists the services to which earlier versions sent a service address; its flows
+// stay where they are. The snapshot keeps the arguments, which must not change afterwards.
+func NewSnapshot(c *Configuration, former map[netip.AddrPort][]string, endpoints []*Endpoint) *Snapshot {
+	s := &Snapshot{
+		Configuration: c,
+		routes:        make(map[netip.AddrPort]*Route, len(c.Routes)),
+		former:        former,
+		cookies:       make(map[uint32]slot, variants*len(endpoints)),
+		services:      make(map[string][]*Endpoint),
+		endpoints:     endpoints,
+	}
+	for i := range c.Routes {
+		s.routes[c.Routes[i].Address] = &c.Routes[i]
+	}
+	for _, e := range endpoints {
+		for v := range variants {
+			cookie := Cookie(e.ID, v)
+			entry := s.cookies[cookie]
+			if entry.first == nil {
+				entry.first = e
+			} else {
+				entry.others = append(entry.others, e)
+			}
+			s.cookies[cookie] = entry
+		}
+		if e.IsOpen() {
+			s.services[e.Service] = append(s.services[e.Service], e)
+		}
+	}
+	for _, list := range s.services {
+		slices.SortFunc(list, func(a, b *Endpoint) int { return strings.Compare(a.ID, b.ID) })
+	}
+	return s
+}
+
+// RouteOf returns the route of a service address, or nil.
+func (s *Snapshot) RouteOf(address netip.AddrPort) *Route { return s.routes[address] }
+
+// WasRouted reports whether an earlier version had a route for the address.
+func (s *Snapshot) WasRouted(address netip.AddrPort) bool { return len(s.former[address]) > 0 }
+
+// Allowed reports whether this or an earlier version sends an address to a service.
+func (s *Snapshot) Allowed(address netip.AddrPort, service string) bool {
+	if r := s.routes[address]; r != nil && r.Allows(service) {
+		return true
+	}
+	return slices.Contains(s.former[address], service)
+}
+
+// EndpointsOf returns the endpoints of a service that may get new flows, ordered by ID.
+func (s *Snapshot) EndpointsOf(service string) []*Endpoint { return s.services[service] }
+
+// Endpoints returns all endpoints, those that are gone included.
+func (s *Snapshot) Endpoints() []*Endpoint { return s.endpoints }
+
+// CookieOf returns a cookie that no other endpoint of this snapshot has. It reports false if there is none; such an
+// endpoint must not get new flows.
+func (s *Snapshot) CookieOf(e *Endpoint) (uint32, bool) {
+	for v := range variants {
+		cookie := Cookie(e.ID, v)
+		if entry := s.cookies[cookie]; len(entry.others) == 0 {
+			return cookie, true
+		}
+	}
+	return 0, false
+}
+
+// ByCookie returns the endpoint of a cookie, or nil. Balancers that know other endpoints may have written a cookie that
+// is ambiguous here. Then the endpoint is the one whose service the address allows, if exactly one is left.
+func (s *Snapshot) ByCookie(cookie uint32, address netip.AddrPort) *Endpoint {
+	entry := s.cookies[cookie]
+	if len(entry.others) == 0 {
+		return entry.first
+	}
+	var found *Endpoint
+	for _, e := range append([]*Endpoint{entry.first}, entry.others...) {
+		if !s.Allowed(address, e.Service) {
+			continue
+		}
+		if found != nil {
+			return nil
+		}
+		found = e
+	}
+	return found
+}
--- a/core/state/metric/metric.go
+++ b/core/state/metric/metric.go
@@ -26,6 +26,10 @@
 	Resent      Counter = "resent"           // kind: retransmissions to callers
 	Violation   Counter = "invariant"        // name of the invariant
 	ControlSent Counter = "control_bytes"    // kind: bytes sent to other balancers for control
+	Steered     Counter = "packets_steered"  // kind: packets sent on to endpoints in the direct return mode
+	StoreCalls  Counter = "store_calls"      // call and outcome: calls of the platform's store
+	BadEntry    Counter = "bad_entries"      // subject: entries of the store that cannot be used
+	ResetSent   Counter = "resets_sent"      // reason: flows that a balancer reset in the direct return mode
 )
 
 // Histogram names a measured duration, recorded per customer and class.
--- /dev/null
+++ b/io/transport/direct/errors.go
@@ -0,0 +1,29 @@
+package direct
+
+import "fmt"
+
+// PacketError reports a datagram that is no packet.
+type PacketError struct {
+	Reason string // label of the counter
+	Bytes  int    // length of the datagram
+}
+
+func (e *PacketError) Error() string {
+	return fmt.Sprintf("malformed packet of %d bytes: %s", e.Bytes, e.Reason)
+}
+
+// HistoryGoneError reports a watch from a revision whose later changes the store no longer has.
+type HistoryGoneError struct {
+	Revision uint64
+}
+
+func (e *HistoryGoneError) Error() string {
+	return fmt.Sprintf("the store no longer has the changes after revision %d", e.Revision)
+}
+
+// Fault is an entry of the store that cannot be used.
+type Fault struct {
+	Subject string // endpoint or route
+	Name    string
+	Reason  string
+}
--- /dev/null
+++ b/io/transport/direct/socket.go
@@ -0,0 +1,138 @@
+package direct
+
+import (
+	"net"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/net/ipv4"
+
+	"cornellb/core/coordination/steering"
+	"cornellb/core/state/metric"
+)
+
+const (
+	// batchSize is the number of datagrams that are read or written by one system call.
+	batchSize = 32
+	// receiveBuffer holds some 100 ms of packets at 10,000 a second.
+	receiveBuffer = 1 << 20
+	// readErrorPause keeps a socket that fails on each read from using a whole core.
+	readErrorPause = 10 * time.Millisecond
+)
+
+// socket reads packets in batches and sends them on. Its buffers are reused, so that no packet allocates.
+type socket struct {
+	process  *Process
+	conn     *net.UDPConn
+	batch    *ipv4.PacketConn
+	in       []ipv4.Message
+	whole    [][]byte // buffers of in with their headroom
+	out      []ipv4.Message
+	to       []net.UDPAddr // destinations of out
+	spare    [][]byte      // buffers for resets
+	headroom int
+	last     atomic.Int64 // time of the last packet, Unix time in ns by the adapters' clock
+}
+
+func listenPackets(p *Process) (*socket, error) {
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(p.settings.PacketAddress))
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for packets")
+	}
+	if err := conn.SetReadBuffer(receiveBuffer); err != nil {
+		p.log.Warn("receive buffer keeps its size", "error", err)
+	}
+	c := p.adapters.Codec
+	s := &socket{
+		process: p, conn: conn, batch: ipv4.NewPacketConn(conn), headroom: c.Headroom(),
+		in: make([]ipv4.Message, batchSize), out: make([]ipv4.Message, 0, batchSize),
+		to: make([]net.UDPAddr, batchSize), spare: make([][]byte, batchSize),
+	}
+	for i := range s.in {
+		// One byte more than the largest packet shows datagrams that are too long.
+		b := make([]byte, s.headroom+c.MaxBytes()+1)
+		s.in[i].Buffers = [][]byte{b[s.headroom:]}
+		s.whole = append(s.whole, b)
+		s.spare[i] = make([]byte, c.MaxBytes())
+		s.to[i].IP = make(net.IP, net.IPv4len)
+	}
+	for range s.in {
+		s.out = append(s.out, ipv4.Message{Buffers: make([][]byte, 1)})
+	}
+	return s, nil
+}
+
+func (s *socket) lastPacket() time.Time { return time.Unix(0, s.last.Load()) }
+
+func (s *socket) close() { _ = s.conn.Close() }
+
+// run forwards packets until the socket is closed.
+func (s *socket) run() {
+	for {
+		n, err := s.batch.ReadBatch(s.in, 0)
+		if err != nil {
+			if errors.Is(err, net.ErrClosed) {
+				return
+			}
+			s.process.log.Warn("packets not read", "error", err)
+			select {
+			case <-s.process.ctx.Done():
+				return
+			case <-s.process.adapters.Clock.After(readErrorPause):
+			}
+			continue
+		}
+		now := s.process.adapters.Clock.Now()
+		s.last.Store(now.UnixNano())
+		s.send(s.decide(now, n))
+	}
+}
+
+// decide handles n packets and returns the number of datagrams to send.
+func (s *socket) decide(now time.Time, n int) int {
+	count := 0
+	for i := range n {
+		m := &s.in[i]
+		var p steering.Packet
+		if err := s.process.adapters.Codec.Decode(m.Buffers[0][:m.N], &p); err != nil {
+			s.process.countMalformed(err)
+			continue
+		}
+		d := s.process.forwarder.Handle(now, &p)
+		switch d.Verdict {
+		case steering.Forward:
+			b := s.whole[i][:s.headroom+m.N]
+			s.process.adapters.Codec.Encode(b, d.Endpoint.Number, d.Cookie)
+			s.put(count, b, d.Endpoint.Address)
+			count++
+		case steering.Reset:
+			b, to := s.process.adapters.Codec.Reset(s.spare[count], &p)
+			s.put(count, b, to)
+			count++
+		}
+		s.process.noteDecision(&p, d)
+	}
+	return count
+}
+
+func (s *socket) put(i int, b []byte, to netip.AddrPort) {
+	ip := to.Addr().As4()
+	copy(s.to[i].IP, ip[:])
+	s.to[i].Port = int(to.Port())
+	s.out[i].Buffers[0] = b
+	s.out[i].Addr = &s.to[i]
+}
+
+// send writes the first n datagrams. One that cannot be sent is counted and left out: the client sends its data again.
+func (s *socket) send(n int) {
+	for sent := 0; sent < n; {
+		k, err := s.batch.WriteBatch(s.out[sent:n], 0)
+		if err != nil {
+			s.process.metrics.Count(metric.Dropped, "send_failed", 1)
+			k = max(k, 0) + 1
+		}
+		sent += k
+	}
+}
--- a/io/transport/platform/client.go
+++ b/io/transport/platform/client.go
@@ -84,8 +84,8 @@
 // Get returns an object.
 func (c *Client) Get(ctx context.Context, kind, name string) (platform.Object, error) {
 	var o platform.Object
-	err := c.read(ctx, call{
-		operation: "get " + kind + "/" + name, kind: kind, name: name, path: platform.ObjectPath(kind, name), reply: &o,
+	err := c.read(ctx, Call{
+		Operation: "get " + kind + "/" + name, Kind: kind, Name: name, Path: platform.ObjectPath(kind, name), Reply: &o,
 	})
 	return o, err
 }
@@ -93,14 +93,14 @@
 // List returns all objects of a kind.
 func (c *Client) List(ctx context.Context, kind string) ([]platform.Object, error) {
 	var l platform.ObjectList
-	err := c.read(ctx, call{operation: "list " + kind, kind: kind, path: platform.ListPath(kind), reply: &l})
+	err := c.read(ctx, Call{Operation: "list " + kind, Kind: kind, Path: platform.ListPath(kind), Reply: &l})
 	return l.Objects, err
 }
 
 // Hosts returns the host list, which lags.
 func (c *Client) Hosts(ctx context.Context) (platform.HostList, error) {
 	var l platform.HostList
-	err := c.read(ctx, call{operation: "hosts", path: platform.HostsPath, reply: &l})
+	err := c.read(ctx, Call{Operation: "hosts", Path: platform.HostsPath, Reply: &l})
 	return l, err
 }
 
@@ -110,9 +110,9 @@
 	platform.Object, bool, error,
 ) {
 	var o platform.Object
-	status, err := c.do(ctx, call{
-		operation: "watch " + kind + "/" + name, kind: kind, name: name, wait: wait,
-		path: platform.WatchQuery(kind, name, after, wait), reply: &o,
+	status, err := c.Do(ctx, Call{
+		Operation: "watch " + kind + "/" + name, Kind: kind, Name: name, Wait: wait,
+		Path: platform.WatchQuery(kind, name, after, wait), Reply: &o,
 	})
 	return o, err == nil && status == http.StatusOK, err
 }
@@ -125,28 +125,28 @@
 		return 0, errors.Wrap(err, "encode put")
 	}
 	var o platform.Object
-	_, err = c.do(ctx, call{
-		method: http.MethodPut, operation: "put " + kind + "/" + name, kind: kind, name: name, expected: ifVersion,
-		path: platform.ObjectPath(kind, name), body: body, reply: &o,
+	_, err = c.Do(ctx, Call{
+		Method: http.MethodPut, Operation: "put " + kind + "/" + name, Kind: kind, Name: name, Expected: ifVersion,
+		Path: platform.ObjectPath(kind, name), Body: body, Reply: &o,
 	})
 	return o.Version, err
 }
 
-// call is one request with what is needed to word its errors.
-type call struct {
-	method     string // GET if empty
-	operation  string
-	kind, name string
-	path       string
-	expected   uint64
-	body       []byte
-	wait       time.Duration // of a watch; 0 for other calls
-	reply      any
+// Call is one request with what is needed to word its errors.
+type Call struct {
+	Method     string        // GET if empty
+	Operation  string        // as it appears in errors, such as "get tables/head"
+	Kind, Name string        // of the object
+	Path       string        // with the query
+	Expected   uint64        // version that a conditional write expects
+	Body       []byte        // JSON, or nil
+	Wait       time.Duration // of a watch; 0 for other calls
+	Reply      any           // takes the JSON body of a response with status 200
 }
 
-func (c *Client) read(ctx context.Context, k call) error {
+func (c *Client) read(ctx context.Context, k Call) error {
 	for attempt := 1; ; attempt++ {
-		_, err := c.do(ctx, k)
+		_, err := c.Do(ctx, k)
 		if err == nil || !isTemporary(err) || attempt == ReadAttempts {
 			return err
 		}
@@ -156,49 +156,49 @@
 	}
 }
 
-// do makes one HTTP request. The status is 0 if there was no response.
-func (c *Client) do(ctx context.Context, k call) (int, error) {
+// Do makes one HTTP request and returns the status of the response, 0 if there was none. It is not repeated.
+func (c *Client) Do(ctx context.Context, k Call) (int, error) {
 	timeout := c.timeout
-	if k.wait > 0 {
-		timeout = k.wait + watchMargin
+	if k.Wait > 0 {
+		timeout = k.Wait + watchMargin
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	method := k.method
+	method := k.Method
 	if method == "" {
 		method = http.MethodGet
 	}
-	request, err := http.NewRequestWithContext(ctx, method, c.url+k.path, bytes.NewReader(k.body))
+	request, err := http.NewRequestWithContext(ctx, method, c.url+k.Path, bytes.NewReader(k.Body))
 	if err != nil {
-		return 0, &RequestError{Operation: k.operation, Message: err.Error()}
+		return 0, &RequestError{Operation: k.Operation, Message: err.Error()}
 	}
-	if len(k.body) > 0 {
+	if len(k.Body) > 0 {
 		request.Header.Set("Content-Type", "application/json")
 	}
 	response, err := c.http.Do(request)
 	if err != nil {
 		c.http.CloseIdleConnections() // other connections of the pool may be silent as well
-		return 0, &UnavailableError{Operation: k.operation, Err: err}
+		return 0, &UnavailableError{Operation: k.Operation, Err: err}
 	}
 	defer response.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(response.Body, replyLimit))
 	if err != nil {
-		return 0, &UnavailableError{Operation: k.operation, Err: err}
+		return 0, &UnavailableError{Operation: k.Operation, Err: err}
 	}
 	return response.StatusCode, k.interpret(response, body)
 }
 
-func (k call) interpret(response *http.Response, body []byte) error {
+func (k Call) interpret(response *http.Response, body []byte) error {
 	switch response.StatusCode {
 	case http.StatusNoContent:
 		return nil
 	case http.StatusOK:
-		if err := json.Unmarshal(body, k.reply); err != nil {
-			return &UnavailableError{Operation: k.operation, Err: errors.Wrap(err, "malformed reply")}
+		if err := json.Unmarshal(body, k.Reply); err != nil {
+			return &UnavailableError{Operation: k.Operation, Err: errors.Wrap(err, "malformed reply")}
 		}
 		return nil
 	case http.StatusNotFound:
-		return &NotFoundError{Kind: k.kind, Name: k.name}
+		return &NotFoundError{Kind: k.Kind, Name: k.Name}
 	}
 	var reply platform.ErrorReply
 	if err := json.Unmarshal(body, &reply); err != nil {
@@ -206,15 +206,15 @@
 	}
 	switch {
 	case response.StatusCode == http.StatusConflict:
-		return &ConflictError{Kind: k.kind, Name: k.name, Expected: k.expected, Actual: reply.Version}
+		return &ConflictError{Kind: k.Kind, Name: k.Name, Expected: k.Expected, Actual: reply.Version}
 	case response.StatusCode == http.StatusTooManyRequests:
 		seconds, _ := strconv.Atoi(response.Header.Get("Retry-After")) // absent or malformed means no hint
-		return &RateLimitError{Operation: k.operation, RetryAfter: time.Duration(max(seconds, 0)) * time.Second}
+		return &RateLimitError{Operation: k.Operation, RetryAfter: time.Duration(max(seconds, 0)) * time.Second}
 	case response.StatusCode >= http.StatusInternalServerError:
-		return &UnavailableError{Operation: k.operation, Err: errors.Errorf("status %d: %s",
+		return &UnavailableError{Operation: k.Operation, Err: errors.Errorf("status %d: %s",
 			response.StatusCode, reply.Message)}
 	}
-	return &RequestError{Operation: k.operation, Status: response.StatusCode, Message: reply.Message}
+	return &RequestError{Operation: k.Operation, Status: response.StatusCode, Message: reply.Message}
 }
 
 func isTemporary(err error) bool {
