--- a/core/coordination/steering/steering.go
+++ b/core/coordination/steering/steering.go
@@ -257,3 +257,10 @@
 	}
 	return Decision{Verdict: Forward, Endpoint: e, Cookie: p.Cookie}
 }
+
+// Flows returns the number of flows that are tracked.
+func (f *Forwarder) Flows() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.flows)
+}
