Read the store from one balancer in each failure domain

Change: core/coordination/spread lets the member with the highest rank of a failure domain read and announce what it knows along a tree; each balancer keeps the time as of which its knowledge was the newest and reads the store itself when that is too long ago. Missing parts come from the balancer that announced them. The membership and the peer transport of the request mode are used as they are; handlers of a mode that does not need them may now be missing. Reports of flows and silent endpoints go to the other members of the failure domain.

--- a/core/coordination/configuration/peers.go
+++ b/core/coordination/configuration/peers.go
@@ -28,6 +28,13 @@
 // Readers returns the members that read the store for a failure domain: the rendezvous winners among the members that
 // can own pool shards, at most one for each host ID, best first.
 func Readers(v *member.View, domain string) []member.Host {
+	ranked := Ranked(v, domain)
+	return ranked[:min(ReaderCount, len(ranked))]
+}
+
+// Ranked returns the members of a failure domain that can own pool shards in the order in which they become readers, at
+// most one for each host ID.
+func Ranked(v *member.View, domain string) []member.Host {
 	var candidates []member.Host
 	for _, h := range v.Hosts {
 		if h.FailureDomain == domain && h.CanOwn() {
@@ -42,8 +49,7 @@
 			cmp.Compare(a.Incarnation, b.Incarnation),
 		)
 	})
-	candidates = slices.CompactFunc(candidates, func(a, b member.Host) bool { return a.ID == b.ID })
-	return candidates[:min(ReaderCount, len(candidates))]
+	return slices.CompactFunc(candidates, func(a, b member.Host) bool { return a.ID == b.ID })
 }
 
 func readerRank(h member.Host, domain string) uint64 {
--- a/core/coordination/discovery/discovery.go
+++ b/core/coordination/discovery/discovery.go
@@ -23,6 +23,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"cornellb/core/state/directory"
@@ -61,6 +62,8 @@
 	isAway        bool   // the store does not answer
 	awayUntil     time.Time
 	isDirty       bool
+	recent        []Change // newest last, all changes after recentBase
+	recentBase    uint64
 	nextExpiry    time.Time // zero if nothing expires
 }
 
@@ -122,11 +125,46 @@
 			s.remove(now, e, revision)
 		}
 	}
-	s.revision = revision
+	s.revision, s.recent, s.recentBase = revision, nil, revision
 	s.isListed, s.isDirty = true, true
 	return true
 }
 
+// maxRecent is the number of changes that are kept for other balancers. They fit into one datagram.
+const maxRecent = 8
+
+func (s *State) remember(c Change) {
+	if len(s.recent) >= maxRecent {
+		s.recentBase = s.recent[0].Revision
+		s.recent = slices.Clone(s.recent[1:])
+	}
+	s.recent = append(s.recent, c)
+}
+
+// Recent returns the newest changes and the revision after which they are complete.
+func (s *State) Recent() ([]Change, uint64) { return s.recent, s.recentBase }
+
+// LapsedUntil returns the time until which entries that lapsed during an outage of the store stay usable.
+func (s *State) LapsedUntil() time.Time { return s.awayUntil }
+
+// KeepLapsed takes that time over from another balancer.
+func (s *State) KeepLapsed(until time.Time) {
+	if until.After(s.awayUntil) {
+		s.awayUntil = until
+	}
+}
+
+// Registered returns the endpoints that are registered at Revision.
+func (s *State) Registered() []directory.Endpoint {
+	list := make([]directory.Endpoint, 0, len(s.entries))
+	for _, e := range s.entries {
+		if e.isRegistered {
+			list = append(list, *e.endpoint)
+		}
+	}
+	return list
+}
+
 // Change takes one event of the registry. It reports false for an event that is older than what is known of the entry.
 func (s *State) Change(now time.Time, c Change) bool {
 	e := s.entries[c.ID]
@@ -134,6 +172,7 @@
 		return false
 	}
 	s.revision = max(s.revision, c.Revision)
+	s.remember(c)
 	switch {
 	case c.Endpoint != nil:
 		s.put(c.Endpoint, c.Revision)
--- a/core/coordination/steering/flow.go
+++ b/core/coordination/steering/flow.go
@@ -190,6 +190,7 @@
 		return
 	}
 	f.swept = now
+	f.expireReports(now)
 	idle := time.Duration(defaultIdle)
 	if f.snapshot != nil && f.snapshot.Configuration.IdleTimeout > 0 {
 		idle = f.snapshot.Configuration.IdleTimeout
--- a/core/coordination/steering/server.go
+++ b/core/coordination/steering/server.go
@@ -23,6 +23,7 @@
 	cookie       uint32
 	hasCookie    bool // false if every cookie of the endpoint belongs to another one too
 	flows        int  // tracked here, those that are opening included
+	remote       int  // as other balancers of the failure domain report
 	opening      int  // tracked here, not answered yet
 	waiting      int  // flows with data that is not answered yet
 	progressAt   time.Time
@@ -61,5 +62,5 @@
 	if now.Before(v.endpoint.WarmAt) {
 		capacity *= coldShare
 	}
-	return float64(v.flows+1) / capacity
+	return float64(v.flows+v.remote+1) / capacity
 }
--- a/core/coordination/steering/steering.go
+++ b/core/coordination/steering/steering.go
@@ -32,6 +32,7 @@
 	"time"
 
 	"cornellb/core/state/directory"
+	"cornellb/core/state/member"
 	"cornellb/core/state/metric"
 )
 
@@ -105,7 +106,9 @@
 	snapshot  *directory.Snapshot
 	confirmed time.Time // when the configuration was last known to be the newest
 	servers   map[string]*server
+	byCookie  map[uint32]*server // by the first cookie
 	flows     map[FlowKey]*flow
+	reports   map[member.Incarnation]heardReport
 	swept     time.Time
 }
 
@@ -117,6 +120,7 @@
 	return &Forwarder{
 		config: c, recorder: r, random: random,
 		servers: make(map[string]*server), flows: make(map[FlowKey]*flow),
+		reports: make(map[member.Incarnation]heardReport),
 	}
 }
 
@@ -143,6 +147,7 @@
 			delete(f.servers, id)
 		}
 	}
+	f.indexCookies()
 }
 
 // Confirm notes that the configuration in force was the newest one at a time.
--- /dev/null
+++ b/io/protocol/wire/peer/directory.go
@@ -0,0 +1,223 @@
+package peer
+
+import (
+	"math"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"cornellb/core/coordination/discovery"
+	"cornellb/core/coordination/spread"
+	"cornellb/core/coordination/steering"
+	"cornellb/core/state/directory"
+	"cornellb/core/state/member"
+)
+
+// Limits of what a peer may send.
+const (
+	maxChanges   = 64
+	maxTargets   = 256
+	maxReported  = 256
+	maxEndpoints = 1 << 20
+	maxRoutes    = 1 << 20
+)
+
+// Directory is what one balancer gives another that has older knowledge.
+type Directory struct {
+	Configuration *directory.Configuration // nil if the requester's is as new
+	Revision      uint64                   // 0 if the requester's endpoints are as new
+	Endpoints     []directory.Endpoint
+}
+
+func milliseconds(d time.Duration) uint32 {
+	return uint32(min(max(d.Milliseconds(), 0), math.MaxUint32))
+}
+
+func duration(ms uint32) time.Duration { return time.Duration(ms) * time.Millisecond }
+
+// AppendAnnouncement appends an encoded announcement.
+func AppendAnnouncement(dst []byte, a *spread.Announcement, now time.Time) []byte {
+	x := &Announcement{
+		Reader: uint64(a.Reader), Sequence: a.Sequence, Version: a.Version, VersionAgeMs: milliseconds(a.VersionAge),
+		Revision: a.Revision, RevisionAgeMs: milliseconds(a.RevisionAge), Base: a.Base, LapsedMs: milliseconds(a.LapsedFor),
+	}
+	for _, c := range a.Changes {
+		e := &EndpointChange{Id: c.ID, Revision: c.Revision}
+		if c.Endpoint != nil {
+			e.Endpoint = newEndpoint(c.Endpoint, now)
+		}
+		x.Changes = append(x.Changes, e)
+	}
+	return appendMessage(dst, x)
+}
+
+// appendMessage appends an encoded message whose strings come from decoded messages or settings and are valid.
+func appendMessage(dst []byte, m proto.Message) []byte {
+	b, err := proto.MarshalOptions{}.MarshalAppend(dst, m)
+	if err != nil {
+		return dst // the receiver refuses an empty message, and the next one comes soon
+	}
+	return b
+}
+
+// DecodeAnnouncement decodes and checks an announcement. The error is a *DecodeError.
+func DecodeAnnouncement(b []byte, now time.Time) (*spread.Announcement, error) {
+	c := checker{message: "Announcement"}
+	var x Announcement
+	if err := proto.Unmarshal(b, &x); err != nil {
+		return nil, &DecodeError{Message: "Announcement", Reason: ReasonMalformed}
+	}
+	if x.GetReader() == 0 || x.GetSequence() == 0 {
+		c.fail("reader", ReasonMissing)
+	}
+	a := &spread.Announcement{
+		Reader: member.Incarnation(x.GetReader()), Sequence: x.GetSequence(), Version: x.GetVersion(),
+		VersionAge: duration(x.GetVersionAgeMs()), Revision: x.GetRevision(), RevisionAge: duration(x.GetRevisionAgeMs()),
+		Base: x.GetBase(), LapsedFor: duration(x.GetLapsedMs()),
+	}
+	if c.count("changes", len(x.GetChanges()), maxChanges) {
+		for _, e := range x.GetChanges() {
+			change := discovery.Change{ID: c.name("changes.id", e.GetId(), true), Revision: e.GetRevision()}
+			if e.GetEndpoint() != nil {
+				change.Endpoint = c.endpoint(e.GetEndpoint(), now)
+			}
+			a.Changes = append(a.Changes, change)
+		}
+	}
+	if c.err != nil {
+		return nil, c.err
+	}
+	return a, nil
+}
+
+func newEndpoint(e *directory.Endpoint, now time.Time) *Endpoint {
+	x := &Endpoint{
+		Id: e.ID, Number: e.Number, Service: e.Service, FailureDomain: e.FailureDomain, Address: encodeAddress(e.Address),
+		Slots: uint32(e.Slots), Leaving: e.IsLeaving, StartedAt: e.StartedAt,
+	}
+	if e.WarmAt.After(now) {
+		x.ColdMs = milliseconds(e.WarmAt.Sub(now))
+	}
+	return x
+}
+
+func (c *checker) endpoint(x *Endpoint, now time.Time) *directory.Endpoint {
+	e := &directory.Endpoint{
+		ID: c.name("endpoint.id", x.GetId(), true), Number: x.GetNumber(),
+		Service:       c.name("endpoint.service", x.GetService(), true),
+		FailureDomain: c.name("endpoint.failure_domain", x.GetFailureDomain(), true),
+		Address:       c.balancer("endpoint.address", x.GetAddress(), true), Slots: int(x.GetSlots()),
+		IsLeaving: x.GetLeaving(), StartedAt: x.GetStartedAt(),
+	}
+	if e.Number == 0 || e.Slots < 1 {
+		c.fail("endpoint.number", ReasonOutOfRange)
+	}
+	if x.GetColdMs() > 0 {
+		e.WarmAt = now.Add(duration(x.GetColdMs()))
+	}
+	return e
+}
+
+// NewDirectoryReply converts a directory.
+func NewDirectoryReply(d *Directory, now time.Time) *DirectoryReply {
+	x := &DirectoryReply{Revision: d.Revision}
+	for i := range d.Endpoints {
+		x.Endpoints = append(x.Endpoints, newEndpoint(&d.Endpoints[i], now))
+	}
+	if d.Configuration == nil {
+		return x
+	}
+	x.Configuration = &Configuration{
+		Version: d.Configuration.Version, IdleTimeoutMs: milliseconds(d.Configuration.IdleTimeout),
+	}
+	for _, r := range d.Configuration.Routes {
+		route := &Route{Name: r.Name, Address: encodeAddress(r.Address)}
+		for _, t := range r.Targets {
+			route.Targets = append(route.Targets, &Target{Service: t.Service, Weight: t.Weight})
+		}
+		x.Configuration.Routes = append(x.Configuration.Routes, route)
+	}
+	return x
+}
+
+// Core converts and checks a directory. The error is a *DecodeError.
+func (x *DirectoryReply) Core(now time.Time) (*Directory, error) {
+	c := checker{message: "DirectoryReply"}
+	d := &Directory{Revision: x.GetRevision()}
+	if !c.count("endpoints", len(x.GetEndpoints()), maxEndpoints) {
+		return nil, c.err
+	}
+	for _, e := range x.GetEndpoints() {
+		d.Endpoints = append(d.Endpoints, *c.endpoint(e, now))
+	}
+	if x.GetConfiguration() != nil {
+		d.Configuration = c.configuration(x.GetConfiguration())
+	}
+	if c.err != nil {
+		return nil, c.err
+	}
+	return d, nil
+}
+
+func (c *checker) configuration(x *Configuration) *directory.Configuration {
+	r := &directory.Configuration{Version: x.GetVersion(), IdleTimeout: duration(x.GetIdleTimeoutMs())}
+	if r.Version == 0 {
+		c.fail("configuration.version", ReasonMissing)
+	}
+	if !c.count("configuration.routes", len(x.GetRoutes()), maxRoutes) {
+		return nil
+	}
+	for _, route := range x.GetRoutes() {
+		y := directory.Route{Name: route.GetName(), Address: c.balancer("route.address", route.GetAddress(), true)}
+		if len(route.GetTargets()) == 0 || len(route.GetTargets()) > maxTargets {
+			c.fail("route.targets", ReasonOutOfRange)
+			return nil
+		}
+		for _, t := range route.GetTargets() {
+			if !(t.GetWeight() > 0) || math.IsInf(t.GetWeight(), 0) {
+				c.fail("target.weight", ReasonOutOfRange)
+			}
+			y.Targets = append(y.Targets, directory.Target{Service: c.name("target.service", t.GetService(), true), Weight: t.GetWeight()})
+		}
+		r.Routes = append(r.Routes, y)
+	}
+	return r
+}
+
+// AppendLoad appends an encoded report.
+func AppendLoad(dst []byte, r *steering.Report) []byte {
+	x := &LoadReport{Sender: uint64(r.Sender), Silent: r.Silent}
+	for _, l := range r.Loads {
+		x.Cookies = append(x.Cookies, l.Cookie)
+		x.Flows = append(x.Flows, uint32(l.Flows))
+	}
+	return appendMessage(dst, x)
+}
+
+// DecodeLoad decodes and checks a report. The error is a *DecodeError.
+func DecodeLoad(b []byte) (*steering.Report, error) {
+	c := checker{message: "LoadReport"}
+	var x LoadReport
+	if err := proto.Unmarshal(b, &x); err != nil {
+		return nil, &DecodeError{Message: "LoadReport", Reason: ReasonMalformed}
+	}
+	if x.GetSender() == 0 {
+		c.fail("sender", ReasonMissing)
+	}
+	if len(x.GetFlows()) != len(x.GetCookies()) {
+		c.fail("flows", ReasonLength)
+	}
+	c.count("cookies", len(x.GetCookies()), maxReported)
+	c.count("silent", len(x.GetSilent()), maxReported)
+	if c.err != nil {
+		return nil, c.err
+	}
+	r := &steering.Report{Sender: member.Incarnation(x.GetSender()), Silent: x.GetSilent()}
+	for i, cookie := range x.GetCookies() {
+		r.Loads = append(r.Loads, steering.Load{Cookie: cookie, Flows: int(min(x.GetFlows()[i], maxReportedFlows))})
+	}
+	return r, nil
+}
+
+// maxReportedFlows bounds the flows that a peer may report for one endpoint.
+const maxReportedFlows = 1 << 20
--- a/io/transport/direct/direct.go
+++ b/io/transport/direct/direct.go
@@ -34,13 +34,15 @@
 type Settings struct {
 	ID              string
 	FailureDomain   string
-	PacketAddress   netip.AddrPort // UDP, packets of clients
-	ReadyAddress    netip.AddrPort // TCP, readiness for the fabric
-	ReadyPath       string         // of the readiness request
-	OperatorAddress netip.AddrPort // TCP, metrics and status
-	ApplyLimit      time.Duration  // in which a configuration must be in force
-	DrainLimit      time.Duration  // from the signal to the forced end of the process
-	FlowAge         time.Duration  // longest life of a flow
+	PacketAddress   netip.AddrPort   // UDP, packets of clients
+	ReadyAddress    netip.AddrPort   // TCP, readiness for the fabric
+	ReadyPath       string           // of the readiness request
+	OperatorAddress netip.AddrPort   // TCP, metrics and status
+	PeerAddress     netip.AddrPort   // UDP and TCP, other balancers; without it the process works alone
+	Peers           []netip.AddrPort // peer addresses of some other balancers, which may be stale
+	ApplyLimit      time.Duration    // in which a configuration must be in force
+	DrainLimit      time.Duration    // from the signal to the forced end of the process
+	FlowAge         time.Duration    // longest life of a flow
 }
 
 // Codec reads and writes packets. Its methods may be called concurrently.
@@ -85,17 +87,19 @@
 	socket    *socket
 	ready     *readyServer
 	operator  *operator.Server
+	peers     *peers
 
 	mu    sync.Mutex // guards the fields below
 	state *discovery.State
 	bad   map[string]string // faults that were logged, by subject and name
 
-	isComplete atomic.Bool
-	isDraining atomic.Bool
-	wanted     chan struct{} // asks for a fresh configuration and list before the next regular read
-	ctx        context.Context
-	cancel     context.CancelFunc
-	work       sync.WaitGroup
+	isComplete          atomic.Bool
+	isDraining          atomic.Bool
+	wantedConfiguration chan struct{} // asks for a read before the next regular one
+	wantedEndpoints     chan struct{}
+	ctx                 context.Context
+	cancel              context.CancelFunc
+	work                sync.WaitGroup
 }
 
 // returnTime is the time after the store's return in which entries of living endpoints come back. The platform promises
@@ -105,7 +109,8 @@
 // Start opens the sockets and begins to read the store. The process is ready once it knows routes and endpoints.
 func Start(s *Settings, a Adapters, log *slog.Logger) (*Process, error) {
 	p := &Process{
-		settings: s, adapters: a, log: log, bad: make(map[string]string), wanted: make(chan struct{}, 1),
+		settings: s, adapters: a, log: log, bad: make(map[string]string),
+		wantedConfiguration: make(chan struct{}, 1), wantedEndpoints: make(chan struct{}, 1),
 		state: discovery.New(discovery.Config{FlowAge: s.FlowAge, ReturnTime: returnTime}),
 	}
 	p.ctx, p.cancel = context.WithCancel(context.Background())
@@ -113,11 +118,11 @@
 		p.Close()
 		return nil, err
 	}
+	p.log.Info("started", "host", s.ID, "failure_domain", s.FailureDomain, "packets", s.PacketAddress.String())
 	p.work.Go(p.socket.run)
 	p.work.Go(p.readConfiguration)
 	p.work.Go(p.readEndpoints)
 	p.work.Go(p.tick)
-	log.Info("started", "host", s.ID, "failure_domain", s.FailureDomain, "packets", s.PacketAddress.String())
 	return p, nil
 }
 
@@ -128,6 +133,9 @@
 	}
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	p.forwarder = steering.New(steering.Config{FailureDomain: p.settings.FailureDomain}, p.metrics, random)
+	if p.peers, err = joinPeers(p); err != nil {
+		return err
+	}
 	if p.socket, err = listenPackets(p); err != nil {
 		return err
 	}
@@ -203,6 +211,7 @@
 		return nil
 	}
 	p.log.Info("draining", "limit", p.settings.DrainLimit.String())
+	p.peers.leave()
 	began := p.adapters.Clock.Now()
 	for {
 		select {
@@ -231,6 +240,9 @@
 	if p.ready != nil {
 		p.ready.close()
 	}
+	if p.peers != nil {
+		p.peers.close()
+	}
 	p.work.Wait()
 	if p.operator != nil {
 		if err := p.operator.Close(); err != nil {
--- /dev/null
+++ b/io/transport/direct/peers.go
@@ -0,0 +1,279 @@
+package direct
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"cornellb/core/coordination/membership"
+	"cornellb/core/coordination/spread"
+	"cornellb/core/coordination/steering"
+	"cornellb/core/state/member"
+	"cornellb/core/state/metric"
+	"cornellb/io/transport/peer"
+
+	wire "cornellb/io/protocol/wire/peer"
+)
+
+const (
+	// gossipBytes is the membership's part of the 4 KB/s that a balancer may use for control.
+	gossipBytes = 1536
+	// fetchTimeout bounds a call of another balancer, so that the store can still be asked in time.
+	fetchTimeout = 600 * time.Millisecond
+	// reportInterval is the time between two reports of flows.
+	reportInterval = time.Second
+	// reportFanout is the number of balancers that get each report: all at today's size, and at the two-year size enough
+	// for some 80 reports within the time that a report counts.
+	reportFanout = 8
+)
+
+// peers connects a process with the other balancers.
+type peers struct {
+	process   *Process
+	transport *peer.Transport
+	runner    *peer.Runner
+	plan      *spread.Plan // under Process.mu
+	self      member.Host
+	fetching  chan struct{} // holds a token while a directory is fetched
+}
+
+// joinPeers opens the links to other balancers. The process works without any of them.
+func joinPeers(p *Process) (*peers, error) {
+	s := p.settings
+	h := &peers{process: p, fetching: make(chan struct{}, 1), self: member.Host{
+		ID: s.ID, FailureDomain: s.FailureDomain, Address: s.PeerAddress,
+		Incarnation: member.Incarnation(rand.Uint64() | 1), // 0 stands for no incarnation
+	}}
+	h.plan = spread.New(h.self.Incarnation, s.FailureDomain, spread.Limits{
+		Configuration: time.Duration(takeoverShare * float64(p.applyLimit())), Endpoints: endpointsLimit,
+	})
+	if !s.PeerAddress.IsValid() {
+		return h, nil
+	}
+	h.runner = peer.NewRunner(p.adapters.Clock, h)
+	var err error
+	h.transport, err = peer.Listen(peer.Settings{Listen: s.PeerAddress, CallTimeout: fetchTimeout},
+		peer.Handlers{Gossip: h.runner, Members: h.runner, Directory: h})
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for balancers")
+	}
+	h.runner.Start(h.transport, membership.Config{
+		ID: s.ID, FailureDomain: s.FailureDomain, Address: s.PeerAddress, Incarnation: h.self.Incarnation,
+		StartedAt: p.adapters.Clock.Now(), BytesPerSecond: gossipBytes,
+	}, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	h.runner.SetHints(s.Peers, nil)
+	p.work.Go(h.report)
+	return h, nil
+}
+
+func (h *peers) close() {
+	if h.transport == nil {
+		return
+	}
+	h.runner.Close()
+	if err := h.transport.Close(); err != nil {
+		h.process.log.Warn("links to balancers not closed", "error", err)
+	}
+}
+
+// leave tells the others that this process ends, so that another one reads the store at once.
+func (h *peers) leave() {
+	if h.runner != nil {
+		h.runner.Leave()
+	}
+}
+
+// SetView implements peer.Events.
+func (h *peers) SetView(v *member.View) {
+	p := h.process
+	p.mu.Lock()
+	was := h.plan.IsReader()
+	h.plan.SetView(v)
+	is := h.plan.IsReader()
+	p.mu.Unlock()
+	if was != is {
+		p.log.Info("reader changed", "is_reader", is, "members", len(v.Hosts))
+		p.wake()
+	}
+}
+
+// OfferTables implements peer.Events. It brings versions over from other failure domains when the own one has no reader
+// that reaches the store.
+func (h *peers) OfferTables(from member.Host, version uint64) {
+	h.process.mu.Lock()
+	isNewer := version > h.process.state.Version()
+	h.process.mu.Unlock()
+	if isNewer {
+		h.fetchLater(from.Address, nil)
+	}
+}
+
+// announce tells the failure domain what this balancer knows, after it has read the store.
+func (h *peers) announce() {
+	if h.transport == nil {
+		return
+	}
+	p := h.process
+	p.mu.Lock()
+	now := p.adapters.Clock.Now()
+	changes, base := p.state.Recent()
+	a := &spread.Announcement{
+		Version: p.state.Version(), Revision: p.state.Revision(), Base: base, Changes: changes,
+		LapsedFor: max(p.state.LapsedUntil().Sub(now), 0),
+	}
+	h.plan.Announce(now, a)
+	next := h.plan.Next(a.Reader)
+	p.mu.Unlock()
+	h.send(next, a)
+}
+
+func (h *peers) send(to []member.Host, a *spread.Announcement) {
+	for _, m := range to {
+		if h.transport.SendAnnouncement(m.Address, a) {
+			h.process.metrics.Count(metric.ControlSent, "announcement", announcementBytes)
+		}
+	}
+}
+
+// announcementBytes is the usual size of an announcement, for the metric alone.
+const announcementBytes = 60
+
+// HandleAnnouncement implements peer.DirectoryHandler.
+func (h *peers) HandleAnnouncement(from netip.AddrPort, a *spread.Announcement) {
+	p := h.process
+	var isBehind bool
+	p.update(func(now time.Time) {
+		if !h.plan.Hear(a) {
+			a = nil
+			return
+		}
+		p.state.KeepLapsed(now.Add(a.LapsedFor))
+		if p.isComplete.Load() && p.state.Revision() >= a.Base {
+			for _, c := range a.Changes {
+				if p.state.Change(now, c) {
+					p.logChange(c, "balancer")
+				}
+			}
+			p.state.Advance(a.Revision)
+		}
+		isBehind = p.state.Version() < a.Version || p.state.Revision() < a.Revision
+		h.adopt(now, a)
+	})
+	switch {
+	case a == nil:
+	case isBehind:
+		h.fetchLater(from, a)
+	default:
+		h.passOn(a, 0)
+	}
+}
+
+// adopt notes how fresh the knowledge is. The caller holds Process.mu.
+func (h *peers) adopt(received time.Time, a *spread.Announcement) {
+	p := h.process
+	h.plan.Adopt(received, a, p.state.Version(), p.state.Revision())
+	if p.state.Version() >= a.Version {
+		p.forwarder.Confirm(received.Add(-a.VersionAge))
+	}
+}
+
+// passOn sends an announcement further down the tree. The time that it was held counts as age.
+func (h *peers) passOn(a *spread.Announcement, held time.Duration) {
+	p := h.process
+	p.mu.Lock()
+	next := h.plan.Next(a.Reader)
+	p.mu.Unlock()
+	further := *a
+	further.VersionAge += held
+	further.RevisionAge += held
+	h.send(next, &further)
+}
+
+// fetchLater gets what is missing from a balancer, and passes the announcement on, if there is one, when it is there. If
+// the balancer does not answer, the store is asked.
+func (h *peers) fetchLater(from netip.AddrPort, a *spread.Announcement) {
+	p := h.process
+	select {
+	case h.fetching <- struct{}{}:
+	default:
+		return // one is under way; the next announcement comes soon
+	}
+	p.work.Go(func() {
+		defer func() { <-h.fetching }()
+		began := p.adapters.Clock.Now()
+		if !h.fetch(from) {
+			p.wake()
+			return
+		}
+		if a == nil {
+			return
+		}
+		p.update(func(time.Time) { h.adopt(began, a) })
+		h.passOn(a, p.adapters.Clock.Now().Sub(began))
+	})
+}
+
+// fetch takes over a configuration and endpoints from a balancer.
+func (h *peers) fetch(from netip.AddrPort) bool {
+	p := h.process
+	ctx, cancel := context.WithTimeout(p.ctx, fetchTimeout)
+	defer cancel()
+	p.mu.Lock()
+	version, revision := p.state.Version(), p.state.Revision()
+	p.mu.Unlock()
+	d, err := h.transport.FetchDirectory(ctx, from, version, revision)
+	if err != nil {
+		p.metrics.Count(metric.StoreCalls, "balancer failed", 1)
+		p.log.Debug("balancer does not answer", "address", from.String(), "error", err)
+		return false
+	}
+	p.metrics.Count(metric.StoreCalls, "balancer answered", 1)
+	p.update(func(now time.Time) {
+		if d.Configuration != nil {
+			p.configure(now, d.Configuration, "balancer")
+		}
+		if d.Revision != 0 {
+			p.state.Replace(now, d.Endpoints, d.Revision)
+		}
+	})
+	return true
+}
+
+// HandleDirectory implements peer.DirectoryHandler.
+func (h *peers) HandleDirectory(_ context.Context, version, revision uint64) (*wire.Directory, error) {
+	p := h.process
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	d := &wire.Directory{}
+	if p.state.Version() > version {
+		d.Configuration = p.state.Configuration()
+	}
+	if p.state.IsComplete() && p.state.Revision() > revision {
+		d.Revision, d.Endpoints = p.state.Revision(), p.state.Registered()
+	}
+	return d, nil
+}
+
+// HandleLoad implements peer.DirectoryHandler.
+func (h *peers) HandleLoad(_ netip.AddrPort, r *steering.Report) {
+	h.process.forwarder.HearReport(h.process.adapters.Clock.Now(), r)
+}
+
+// report tells other balancers of the failure domain about flows and silent endpoints.
+func (h *peers) report() {
+	p := h.process
+	for p.pause(vary(reportInterval), nil) {
+		p.mu.Lock()
+		others := h.plan.Members()
+		p.mu.Unlock()
+		r := p.forwarder.Report(p.adapters.Clock.Now())
+		r.Sender = h.self.Incarnation
+		rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+		for _, m := range others[:min(len(others), reportFanout)] {
+			h.transport.SendLoad(m.Address, r)
+		}
+	}
+}
--- a/io/transport/direct/reader.go
+++ b/io/transport/direct/reader.go
@@ -6,7 +6,9 @@
 
 	"github.com/pkg/errors"
 
+	"cornellb/core/coordination/discovery"
 	"cornellb/core/coordination/steering"
+	"cornellb/core/state/directory"
 	"cornellb/core/state/metric"
 )
 
@@ -21,25 +23,42 @@
 	maxPause   = time.Second
 	// wantedPause is the least time between two reads that unknown routes or cookies cause.
 	wantedPause = 300 * time.Millisecond
-	// defaultInterval is the time between reads of the configuration if no limit is set.
-	defaultInterval = 1500 * time.Millisecond
+	// defaultApplyLimit holds if the settings have no limit for applying a configuration.
+	defaultApplyLimit = 3 * time.Second
+	// takeoverShare is the part of that limit after which a balancer that hears nothing of the reader reads by itself. It
+	// is longer than the time between two reads, and leaves time for a call.
+	takeoverShare = 0.65
+	// endpointsLimit does the same for endpoints. A reader's watch ends after watchWait at the latest.
+	endpointsLimit = watchWait + 600*time.Millisecond
+	// idlePause is the time between two checks whether a read is due.
+	idlePause = 100 * time.Millisecond
 )
 
-// readConfiguration reads the configuration at regular intervals. A watch alone is not enough: it can stay silent while
-// changes are made.
-func (p *Process) readConfiguration() {
-	interval := time.Duration(configurationShare * float64(p.settings.ApplyLimit))
-	if interval <= 0 {
-		interval = defaultInterval
+// applyLimit returns the time in which a configuration must be in force.
+func (p *Process) applyLimit() time.Duration {
+	if p.settings.ApplyLimit > 0 {
+		return p.settings.ApplyLimit
 	}
+	return defaultApplyLimit
+}
+
+// readConfiguration reads the configuration at regular intervals, as long as this balancer is the reader or hears too
+// little of others. A watch alone is not enough: it can stay silent while changes are made.
+func (p *Process) readConfiguration() {
+	interval := time.Duration(configurationShare * float64(p.applyLimit()))
 	failures := 0
 	for {
-		began := p.adapters.Clock.Now()
-		c, faults, err := p.adapters.Store.Configuration(p.ctx)
+		isDue := func() bool { return p.peers.plan.ReadsConfiguration(p.adapters.Clock.Now()) }
+		if !p.isWanted(p.wantedConfiguration) && !p.isDue(isDue) {
+			if !p.pause(idlePause, p.wantedConfiguration) {
+				return
+			}
+			continue
+		}
+		err := p.fetchConfiguration()
 		if p.ctx.Err() != nil {
 			return
 		}
-		p.noteCall("configuration", err)
 		if err != nil {
 			failures++
 			if !p.pause(backoff(failures), nil) {
@@ -48,50 +67,105 @@
 			continue
 		}
 		failures = 0
-		p.reportFaults(faults)
-		p.update(func(now time.Time) {
-			if p.state.Configure(now, c) {
-				p.log.Info("configuration in force", "version", c.Version, "routes", len(c.Routes), "source", "store")
-			}
-		})
-		p.forwarder.Confirm(began)
-		if !p.pause(wantedPause, nil) || !p.pause(spread(interval)-wantedPause, p.wanted) {
+		p.peers.announce()
+		wait := vary(interval) - wantedPause
+		if !p.pause(wantedPause, nil) || !p.pause(wait, p.wantedConfiguration) {
 			return
 		}
 	}
 }
 
-// readEndpoints follows the registered endpoints.
+// isWanted reports whether a read was asked for, and keeps the request for the pause that follows if it was not.
+func (p *Process) isWanted(c chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return !p.isComplete.Load()
+	}
+}
+
+func (p *Process) isDue(check func() bool) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return check()
+}
+
+func (p *Process) fetchConfiguration() error {
+	began := p.adapters.Clock.Now()
+	c, faults, err := p.adapters.Store.Configuration(p.ctx)
+	if p.noteCall("configuration", err); err != nil {
+		return err
+	}
+	p.reportFaults(faults)
+	p.update(func(now time.Time) {
+		p.configure(now, c, "store")
+		p.peers.plan.ConfirmConfiguration(began)
+	})
+	p.forwarder.Confirm(began)
+	return nil
+}
+
+// configure puts a configuration in force if it is newer. The caller holds p.mu.
+func (p *Process) configure(now time.Time, c *directory.Configuration, source string) {
+	if !p.state.Configure(now, c) {
+		return
+	}
+	p.log.Info("configuration in force", "version", c.Version, "routes", len(c.Routes), "source", source)
+	if r := p.peers.runner; r != nil {
+		r.SetTableVersion(c.Version)
+	}
+}
+
+// readEndpoints follows the registered endpoints, as long as this balancer is the reader or hears too little of others.
 func (p *Process) readEndpoints() {
 	failures := 0
+	isKnown := false // changes can be watched from the known revision on
 	for {
-		err := p.listEndpoints()
-		for err == nil {
-			failures = 0
+		isDue := func() bool { return p.peers.plan.ReadsEndpoints(p.adapters.Clock.Now()) }
+		if isKnown && !p.isDue(isDue) {
+			if !p.pause(idlePause, p.wantedEndpoints) {
+				return
+			}
+			continue
+		}
+		var err error
+		if isKnown {
 			err = p.watchEndpoints()
+		} else {
+			err = p.listEndpoints()
 		}
 		if p.ctx.Err() != nil {
 			return
 		}
 		var gone *HistoryGoneError
-		if errors.As(err, &gone) {
+		switch {
+		case errors.As(err, &gone):
 			p.log.Warn("changes of endpoints were missed", "revision", gone.Revision)
-			continue
-		}
-		failures++
-		if !p.pause(backoff(failures), nil) {
-			return
+			isKnown = false
+		case err != nil:
+			failures++
+			if !p.pause(backoff(failures), nil) {
+				return
+			}
+		default:
+			isKnown, failures = true, 0
+			p.peers.announce()
 		}
 	}
 }
 
 func (p *Process) listEndpoints() error {
+	began := p.adapters.Clock.Now()
 	list, revision, faults, err := p.adapters.Store.Endpoints(p.ctx, true)
 	if p.noteCall("endpoints", err); err != nil {
 		return err
 	}
 	p.reportFaults(faults)
-	p.update(func(now time.Time) { p.state.Replace(now, list, revision) })
+	p.update(func(now time.Time) {
+		p.state.Replace(now, list, revision)
+		p.peers.plan.ConfirmEndpoints(began)
+	})
 	p.log.Info("endpoints listed", "endpoints", len(list), "revision", revision)
 	return nil
 }
@@ -107,21 +181,36 @@
 	p.reportFaults(faults)
 	p.update(func(now time.Time) {
 		for _, c := range changes {
-			if !p.state.Change(now, c) {
-				continue
+			if p.state.Change(now, c) {
+				p.logChange(c, "store")
 			}
-			if c.Endpoint == nil {
-				p.log.Info("endpoint gone", "id", c.ID, "revision", c.Revision)
-				continue
-			}
-			p.log.Info("endpoint registered", "id", c.ID, "service", c.Endpoint.Service, "address",
-				c.Endpoint.Address.String(), "is_leaving", c.Endpoint.IsLeaving, "revision", c.Revision)
 		}
 		p.state.Advance(revision)
+		p.peers.plan.ConfirmEndpoints(now)
 	})
 	return nil
 }
 
+// logChange logs what a change of an endpoint means for new flows.
+func (p *Process) logChange(c discovery.Change, source string) {
+	if c.Endpoint == nil {
+		p.log.Info("endpoint gone", "id", c.ID, "revision", c.Revision, "source", source)
+		return
+	}
+	p.log.Info("endpoint registered", "id", c.ID, "service", c.Endpoint.Service, "address",
+		c.Endpoint.Address.String(), "is_leaving", c.Endpoint.IsLeaving, "revision", c.Revision, "source", source)
+}
+
+// wake lets the reads check at once whether they are due.
+func (p *Process) wake() {
+	for _, c := range []chan struct{}{p.wantedConfiguration, p.wantedEndpoints} {
+		select {
+		case c <- struct{}{}:
+		default:
+		}
+	}
+}
+
 // noteCall tells the state whether the store answers, and logs when that changes.
 func (p *Process) noteCall(what string, err error) {
 	var gone *HistoryGoneError
@@ -184,7 +273,7 @@
 	}
 	if d.Reason == steering.ReasonNoRoute && d.Verdict == steering.Drop {
 		select {
-		case p.wanted <- struct{}{}:
+		case p.wantedConfiguration <- struct{}{}:
 		default:
 		}
 	}
@@ -209,10 +298,10 @@
 }
 
 func backoff(failures int) time.Duration {
-	return spread(min(firstPause<<min(failures-1, 8), maxPause))
+	return vary(min(firstPause<<min(failures-1, 8), maxPause))
 }
 
-// spread varies a wait by a tenth, so that balancers which started together do not call together.
-func spread(d time.Duration) time.Duration {
+// vary changes a wait by a tenth, so that balancers which started together do not call together.
+func vary(d time.Duration) time.Duration {
 	return time.Duration(float64(d) * (0.9 + 0.2*rand.Float64()))
 }
--- a/io/transport/peer/call.go
+++ b/io/transport/peer/call.go
@@ -25,7 +25,10 @@
 	MaxReplyBytes = 16 << 20
 )
 
-var errWrongReply = errors.New("the reply is of another kind than the request")
+var (
+	errWrongReply = errors.New("the reply is of another kind than the request")
+	errNotServed  = errors.New("this balancer does not serve the request in its mode")
+)
 
 // SendHandover sends flows to another owner and returns its ack. The error is a *CallError.
 func (t *Transport) SendHandover(ctx context.Context, to netip.AddrPort, h *flow.Handover) (*flow.HandoverAck, error) {
@@ -103,6 +106,27 @@
 	return &page, nil
 }
 
+// FetchDirectory asks a peer for a configuration and endpoints that are newer than a version and a revision. The error is
+// a *CallError.
+func (t *Transport) FetchDirectory(ctx context.Context, to netip.AddrPort, version, revision uint64) (
+	*wire.Directory, error,
+) {
+	x := &wire.Request{Body: &wire.Request_Directory{Directory: &wire.DirectoryRequest{Version: version, Revision: revision}}}
+	reply, err := t.call(ctx, to, KindDirectory, x)
+	if err != nil {
+		return nil, err
+	}
+	directory, ok := reply.GetBody().(*wire.Reply_Directory)
+	if !ok {
+		return nil, t.failed(KindDirectory, to, StageDecode, errWrongReply)
+	}
+	d, err := directory.Directory.Core(time.Now())
+	if err != nil {
+		return nil, t.failed(KindDirectory, to, StageDecode, err)
+	}
+	return d, nil
+}
+
 func (t *Transport) failed(k Kind, to netip.AddrPort, s Stage, err error) error {
 	t.counters.calls.Add(1)
 	return &CallError{Kind: k, To: to, Stage: s, Err: err}
@@ -192,19 +216,35 @@
 
 // dispatch calls the handler of a request. The kind is KindCount for a request without a known body.
 func (t *Transport) dispatch(ctx context.Context, x *wire.Request) (*wire.Reply, Kind, error) {
+	h := &t.handlers
 	switch b := x.GetBody().(type) {
 	case *wire.Request_Handover:
+		if h.Handover == nil {
+			return nil, KindHandover, errNotServed
+		}
 		reply, err := t.handover(ctx, b.Handover)
 		return reply, KindHandover, err
 	case *wire.Request_Tables:
+		if h.Tables == nil {
+			return nil, KindTables, errNotServed
+		}
 		reply, err := t.tables(ctx, b.Tables)
 		return reply, KindTables, err
 	case *wire.Request_TablesChange:
+		if h.Tables == nil {
+			return nil, KindTables, errNotServed
+		}
 		reply, err := t.tablesChange(ctx, b.TablesChange)
 		return reply, KindTables, err
 	case *wire.Request_Members:
 		reply, err := t.members(ctx, b.Members)
 		return reply, KindMembers, err
+	case *wire.Request_Directory:
+		if h.Directory == nil {
+			return nil, KindDirectory, errNotServed
+		}
+		reply, err := t.directory(ctx, b.Directory)
+		return reply, KindDirectory, err
 	}
 	return nil, KindCount, nil
 }
@@ -264,6 +304,18 @@
 	return &wire.Reply{Body: &wire.Reply_Members{Members: wire.NewMembersReply(page)}}, nil
 }
 
+func (t *Transport) directory(ctx context.Context, x *wire.DirectoryRequest) (*wire.Reply, error) {
+	d, err := t.handlers.Directory.HandleDirectory(ctx, x.GetVersion(), x.GetRevision())
+	if err != nil {
+		return nil, err
+	}
+	reply := &wire.Reply{Body: &wire.Reply_Directory{Directory: wire.NewDirectoryReply(d, time.Now())}}
+	if size := proto.Size(reply); size > MaxReplyBytes {
+		return nil, &TooLargeError{Bytes: size, Limit: MaxReplyBytes}
+	}
+	return reply, nil
+}
+
 // errorText cuts the text of an error to the limit of a reply and to valid UTF-8.
 func errorText(err error) string {
 	text := err.Error()
--- a/io/transport/peer/counters.go
+++ b/io/transport/peer/counters.go
@@ -12,10 +12,11 @@
 	KindTables
 	KindHandover
 	KindMembers
+	KindDirectory
 	KindCount
 )
 
-var kindNames = [KindCount]string{"forward", "gossip", "tables", "handover", "members"}
+var kindNames = [KindCount]string{"forward", "gossip", "tables", "handover", "members", "directory"}
 
 // String returns the name of the kind as used in metrics.
 func (k Kind) String() string {
--- a/io/transport/peer/datagram.go
+++ b/io/transport/peer/datagram.go
@@ -9,6 +9,8 @@
 	"github.com/pkg/errors"
 
 	"cornellb/core/coordination/membership"
+	"cornellb/core/coordination/spread"
+	"cornellb/core/coordination/steering"
 	"cornellb/core/state/packet"
 	"cornellb/io/protocol/wire"
 	peerwire "cornellb/io/protocol/wire/peer"
@@ -16,8 +18,10 @@
 
 // Types of datagrams, the first byte.
 const (
-	typeForward = 1
-	typeGossip  = 2
+	typeForward  = 1
+	typeGossip   = 2
+	typeAnnounce = 3
+	typeLoad     = 4
 )
 
 const (
@@ -88,6 +92,26 @@
 	return t.send(s, to, KindGossip)
 }
 
+// SendAnnouncement sends what a reader of the store knows. It does not block. It reports false if the datagram was
+// dropped, which is counted.
+func (t *Transport) SendAnnouncement(to netip.AddrPort, a *spread.Announcement) bool {
+	s := t.senders.Get().(*sender)
+	defer t.senders.Put(s)
+	return t.sendEncoded(s, to, peerwire.AppendAnnouncement(append(s.buffer[:0], typeAnnounce), a, time.Now()))
+}
+
+// SendLoad sends a report of flows. It does not block. It reports false if the datagram was dropped, which is counted.
+func (t *Transport) SendLoad(to netip.AddrPort, r *steering.Report) bool {
+	s := t.senders.Get().(*sender)
+	defer t.senders.Put(s)
+	return t.sendEncoded(s, to, peerwire.AppendLoad(append(s.buffer[:0], typeLoad), r))
+}
+
+func (t *Transport) sendEncoded(s *sender, to netip.AddrPort, b []byte) bool {
+	s.buffer = b
+	return t.send(s, to, KindDirectory)
+}
+
 func (t *Transport) send(s *sender, to netip.AddrPort, k Kind) bool {
 	if len(s.buffer) > maxDatagram || !to.IsValid() {
 		t.counters.sendErr.Add(1)
@@ -140,7 +164,7 @@
 	switch {
 	case len(b) == 0 || len(b) > maxDatagram:
 		t.counters.badType.Add(1)
-	case b[0] == typeForward:
+	case b[0] == typeForward && t.handlers.Forward != nil:
 		t.counters.received[KindForward].Add(uint64(len(b)))
 		t.handlers.Forward.HandleForward(from, b[1:])
 	case b[0] == typeGossip:
@@ -151,6 +175,22 @@
 			return
 		}
 		t.handlers.Gossip.HandleGossip(from, m)
+	case b[0] == typeAnnounce && t.handlers.Directory != nil:
+		t.counters.received[KindDirectory].Add(uint64(len(b)))
+		a, err := peerwire.DecodeAnnouncement(b[1:], time.Now())
+		if err != nil {
+			t.counters.badGossip.Add(1)
+			return
+		}
+		t.handlers.Directory.HandleAnnouncement(from, a)
+	case b[0] == typeLoad && t.handlers.Directory != nil:
+		t.counters.received[KindDirectory].Add(uint64(len(b)))
+		r, err := peerwire.DecodeLoad(b[1:])
+		if err != nil {
+			t.counters.badGossip.Add(1)
+			return
+		}
+		t.handlers.Directory.HandleLoad(from, r)
 	default:
 		t.counters.badType.Add(1)
 	}
--- a/io/transport/peer/transport.go
+++ b/io/transport/peer/transport.go
@@ -12,6 +12,8 @@
 	"github.com/pkg/errors"
 
 	"cornellb/core/coordination/membership"
+	"cornellb/core/coordination/spread"
+	"cornellb/core/coordination/steering"
 	"cornellb/core/state/flow"
 	wire "cornellb/io/protocol/wire/peer"
 )
@@ -47,13 +49,22 @@
 	HandleMembers(ctx context.Context, r membership.MembersRequest) (membership.MembersReply, error)
 }
 
-// Handlers take what arrives. All are required.
+// DirectoryHandler takes what balancers in the direct return mode tell each other. Its methods are called by several
+// goroutines at once, and the first two must not block.
+type DirectoryHandler interface {
+	HandleAnnouncement(from netip.AddrPort, a *spread.Announcement)
+	HandleLoad(from netip.AddrPort, r *steering.Report)
+	HandleDirectory(ctx context.Context, version, revision uint64) (*wire.Directory, error)
+}
+
+// Handlers take what arrives. Gossip and Members are required; messages for a handler that is missing are refused.
 type Handlers struct {
-	Forward  ForwardHandler
-	Gossip   GossipHandler
-	Handover HandoverHandler
-	Tables   TablesHandler
-	Members  MembersHandler
+	Forward   ForwardHandler
+	Gossip    GossipHandler
+	Handover  HandoverHandler
+	Tables    TablesHandler
+	Members   MembersHandler
+	Directory DirectoryHandler
 }
 
 // Settings configure the links. Zero values select defaults.
@@ -105,7 +116,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if h.Forward == nil || h.Gossip == nil || h.Handover == nil || h.Tables == nil || h.Members == nil {
+	if h.Gossip == nil || h.Members == nil {
 		return nil, &SettingsError{Setting: "handlers", Reason: "are not complete"}
 	}
 	conn, listener, err := open(s.Listen)
