Prove the direct return mode with processes and stand-ins of the platform

Change: standin/direct holds a store with watches, refusals, silence, lost answers and a forgotten history, endpoints that answer clients directly, and clients behind a fabric that hashes flows over ready balancers. test/process runs four real forwarders in two failure domains against it: planned changes, a killed balancer, a store that turns three of four balancers away in four ways, a lost history, a silent endpoint, and the number of readers.

--- /dev/null
+++ b/core/coordination/spread/spread_test.go
@@ -0,0 +1,175 @@
+package spread_test
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"cornellb/core/coordination/spread"
+	"cornellb/core/state/member"
+)
+
+const domain = "attiki-1"
+
+var (
+	start  = time.Unix(1_800_000_000, 0)
+	limits = spread.Limits{Configuration: 2 * time.Second, Endpoints: 2600 * time.Millisecond}
+)
+
+func host(i int) member.Host {
+	return member.Host{
+		ID: fmt.Sprintf("entry-%03d", i), FailureDomain: domain, Incarnation: member.Incarnation(i + 1),
+		Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 7720),
+	}
+}
+
+// plans returns the plans of n balancers with the same view, which has far members in another failure domain too.
+func plans(n int) map[member.Incarnation]*spread.Plan {
+	var hosts []member.Host
+	for i := range n {
+		hosts = append(hosts, host(i))
+	}
+	far := host(n)
+	far.FailureDomain = "attiki-2"
+	hosts = append(hosts, far)
+	byIncarnation := make(map[member.Incarnation]*spread.Plan)
+	for _, h := range hosts[:n] {
+		p := spread.New(h.Incarnation, domain, limits)
+		p.SetView(member.NewView(1, h, append([]member.Host{}, hosts...)))
+		byIncarnation[h.Incarnation] = p
+	}
+	return byIncarnation
+}
+
+// TestOneReader guards against failure domains without a reader, or with many that load the store.
+func TestOneReader(t *testing.T) {
+	is := is.New(t)
+	readers := 0
+	for _, p := range plans(24) {
+		if p.IsReader() {
+			readers++
+		}
+	}
+	is.Equal(readers, 1)
+	is.True(spread.New(1, domain, limits).IsReader()) // a balancer that knows no others reads for itself
+}
+
+// TestAnnouncementReachesAll guards against balancers that an announcement never reaches, and against copies.
+func TestAnnouncementReachesAll(t *testing.T) {
+	for _, n := range []int{1, 2, 8, 9, 24, 700} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			is := is.New(t)
+			all := plans(n)
+			for _, reader := range []member.Incarnation{1, member.Incarnation(n)} {
+				reached := map[member.Incarnation]int{reader: 1}
+				queue := []member.Incarnation{reader}
+				steps := 0
+				for ; len(queue) > 0; steps++ {
+					for _, h := range all[queue[0]].Next(reader) {
+						reached[h.Incarnation]++
+						queue = append(queue, h.Incarnation)
+					}
+					queue = queue[1:]
+				}
+				is.Equal(len(reached), n)
+				for _, times := range reached {
+					is.Equal(times, 1)
+				}
+			}
+		})
+	}
+}
+
+// TestTakeover guards against balancers that keep an old state when their reader is gone, cut off or refused by the
+// store, and against all of them reading at once.
+func TestTakeover(t *testing.T) {
+	is := is.New(t)
+	all := plans(24)
+	for _, p := range all {
+		p.ConfirmConfiguration(start)
+		p.ConfirmEndpoints(start)
+	}
+	count := func(now time.Time, reads func(*spread.Plan, time.Time) bool) int {
+		n := 0
+		for _, p := range all {
+			if reads(p, now) && !p.IsReader() {
+				n++
+			}
+		}
+		return n
+	}
+	is.Equal(count(start.Add(limits.Configuration), (*spread.Plan).ReadsConfiguration), 0)
+	is.Equal(count(start.Add(limits.Configuration+time.Millisecond), (*spread.Plan).ReadsConfiguration), 1)
+	is.Equal(count(start.Add(limits.Configuration+500*time.Millisecond), (*spread.Plan).ReadsConfiguration), 23)
+	is.Equal(count(start.Add(limits.Endpoints+time.Millisecond), (*spread.Plan).ReadsEndpoints), 1)
+}
+
+// TestStaleAnnouncement guards against balancers that trust a reader which no longer reaches the store.
+func TestStaleAnnouncement(t *testing.T) {
+	is := is.New(t)
+	p := plans(2)[1]
+	if p.IsReader() {
+		p = plans(2)[2]
+	}
+	a := &spread.Announcement{Reader: 99, Sequence: 1, Version: 7, VersionAge: 3 * time.Second, Revision: 9}
+	p.Adopt(start, a, 7, 9)
+	is.True(p.ReadsConfiguration(start))
+	is.True(!p.ReadsEndpoints(start.Add(time.Second)))
+
+	behind := &spread.Announcement{Reader: 99, Sequence: 2, Version: 8, Revision: 9}
+	p.Adopt(start, behind, 7, 9) // the version was not taken over
+	is.True(p.ReadsConfiguration(start))
+}
+
+// TestRepeatedAnnouncement guards against announcements that circulate, and against memory that grows with readers.
+func TestRepeatedAnnouncement(t *testing.T) {
+	is := is.New(t)
+	p := plans(2)[1]
+	is.True(p.Hear(&spread.Announcement{Reader: 2, Sequence: 5}))
+	is.True(!p.Hear(&spread.Announcement{Reader: 2, Sequence: 5}))
+	is.True(!p.Hear(&spread.Announcement{Reader: 2, Sequence: 4}))
+	is.True(!p.Hear(&spread.Announcement{Reader: 1, Sequence: 9})) // its own
+	heard := 0
+	for i := range 10000 {
+		if p.Hear(&spread.Announcement{Reader: member.Incarnation(100 + i), Sequence: 1}) {
+			heard++
+		}
+	}
+	is.True(heard < 100)
+}
+
+// TestRandomViews guards against old states under any views: whatever each balancer believes of the members, and
+// whichever balancers reach the store, one that hears nothing fresh reads the store within its limit and delay.
+func TestRandomViews(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(2, 12).Draw(t, "balancers")
+		all := make([]*spread.Plan, n)
+		for i := range all {
+			view := []member.Host{host(i)}
+			for j := range n {
+				if j != i && rapid.Bool().Draw(t, "known") {
+					h := host(j)
+					h.State = member.State(rapid.IntRange(0, int(member.StateCount)-1).Draw(t, "state"))
+					view = append(view, h)
+				}
+			}
+			all[i] = spread.New(host(i).Incarnation, domain, limits)
+			all[i].SetView(member.NewView(1, host(i), view))
+			all[i].ConfirmConfiguration(start)
+		}
+		for i, p := range all {
+			if !p.ReadsConfiguration(start.Add(limits.Configuration + 500*time.Millisecond)) {
+				t.Fatalf("balancer %d keeps an old state", i)
+			}
+			for _, h := range p.Next(member.Incarnation(i + 1)) {
+				if h.Incarnation == member.Incarnation(i+1) {
+					t.Fatalf("balancer %d announces to itself", i)
+				}
+			}
+		}
+	})
+}
--- a/core/coordination/steering/steering_test.go
+++ b/core/coordination/steering/steering_test.go
@@ -450,3 +450,70 @@
 		}
 	}
 }
+
+// TestReportedFlows guards against several balancers that each send their flows to the same endpoint, because they count
+// only their own.
+func TestReportedFlows(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(endpoint("i-1", "attiki-1"), endpoint("i-2", "attiki-1"))
+	r := &steering.Report{Sender: 7, Loads: []steering.Load{{Cookie: directory.Cookie("i-1", 0), Flows: 10}}}
+	w.HearReport(w.now, r)
+	w.HearReport(w.now, r) // the newest report replaces the one before
+	for range 10 {
+		is.Equal(w.established(t).endpoint.ID, "i-2")
+	}
+	counts := map[string]int{}
+	for range 20 {
+		counts[w.established(t).endpoint.ID]++
+	}
+	is.True(counts["i-1"] >= 9 && counts["i-1"] <= 11)
+
+	for range 12 {
+		w.pass(time.Second) // the reporter is gone
+	}
+	is.Equal(w.established(t).endpoint.ID, "i-1")
+}
+
+// TestReportedSilence guards against flows that wait on an endpoint which another balancer knows to be silent, and
+// against reports that outweigh what this balancer sees itself.
+func TestReportedSilence(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(endpoint("i-1", "attiki-1"), endpoint("i-2", "attiki-1"))
+	silent := &steering.Report{Sender: 7, Silent: []uint32{directory.Cookie("i-1", 0)}}
+	w.HearReport(w.now, silent)
+	for range 10 {
+		_, d := w.open(feed)
+		is.Equal(d.Endpoint.ID, "i-2")
+	}
+	w.pass(5 * time.Second)
+	var f *flow
+	for f == nil || f.endpoint.ID != "i-1" {
+		f = w.established(t)
+	}
+	w.HearReport(w.now, silent) // it has answered here just now
+	counts := map[string]int{}
+	for range 10 {
+		counts[w.established(t).endpoint.ID]++
+	}
+	is.True(counts["i-1"] > 0)
+}
+
+// TestReport guards against reports without the endpoints that matter.
+func TestReport(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(endpoint("i-1", "attiki-1"), endpoint("i-2", "attiki-1"))
+	for range 4 {
+		w.established(t)
+	}
+	f, d := w.open(feed)
+	silent := d.Endpoint.ID
+	w.pass(200 * time.Millisecond)
+	w.repeat(f)
+	r := w.Report(w.now)
+	flows := 0
+	for _, l := range r.Loads {
+		flows += l.Flows
+	}
+	is.Equal(flows, 5)
+	is.Equal(r.Silent, []uint32{directory.Cookie(silent, 0)})
+}
--- /dev/null
+++ b/standin/direct/flow.go
@@ -0,0 +1,128 @@
+package direct
+
+import (
+	"fmt"
+	"net/netip"
+	"time"
+)
+
+// clientFlow is one flow of a client.
+type clientFlow struct {
+	load     *Load
+	address  netip.AddrPort
+	port     uint16
+	received chan packet
+	cookie   uint32
+	sequence uint32
+	expected uint32 // next byte of the endpoint
+}
+
+func (f *clientFlow) run() {
+	if !f.open() {
+		return
+	}
+	for i := range f.load.settings.Requests {
+		select {
+		case <-f.load.stop:
+			f.send(flagEnd|flagAck, nil)
+			return
+		case <-time.After(f.load.settings.Pause):
+		}
+		if !f.request(fmt.Sprintf("request %d of port %d", i, f.port)) {
+			return
+		}
+	}
+	f.send(flagEnd|flagAck, nil)
+}
+
+func (f *clientFlow) send(flags byte, data []byte) {
+	p := &packet{
+		sequence: f.sequence, acknowledgment: f.expected, cookie: f.cookie, flags: flags, data: data,
+		source: netip.AddrPortFrom(f.load.settings.Address, f.port), destination: f.address,
+	}
+	// A balancer that has ended does not read.
+	_, _ = f.load.conn.WriteToUDPAddrPort(p.encode(p.sum()), f.load.balancer(f.port))
+}
+
+// open sends the opening packet and its copies, and reports whether the flow is open.
+func (f *clientFlow) open() bool {
+	f.sequence = uint32(f.port) << 8
+	end := time.After(openLimit)
+	repeats := []<-chan time.Time{time.After(firstRepeat), time.After(3 * firstRepeat)}
+	f.send(flagOpen, nil)
+	for {
+		select {
+		case p := <-f.received:
+			switch {
+			case p.flags&flagReset != 0:
+				f.load.result[refused].Add(1)
+				time.Sleep(firstRepeat) // clients of a refused flow do not come back at once
+				return false
+			case p.flags&flagOpen != 0:
+				f.sequence++
+				f.cookie, f.expected = p.cookie, p.sequence+1
+				f.send(flagAck, nil)
+				return true
+			}
+		case <-repeats[0]:
+			f.expected = 1 // the number of copies so far
+			f.send(flagOpen, nil)
+		case <-repeats[1]:
+			f.expected = 2
+			f.send(flagOpen, nil)
+		case <-end:
+			f.load.result[unopened].Add(1)
+			return false
+		}
+	}
+}
+
+// request sends data until it is answered, and reports whether the flow can be used further.
+func (f *clientFlow) request(text string) bool {
+	r := &f.load.result
+	r[requests].Add(1)
+	wait := firstRepeat
+	end := time.After(f.load.settings.Deadline)
+	repeat := time.After(wait)
+	isRepeated := false
+	f.send(flagAck, []byte(text))
+	for {
+		select {
+		case p := <-f.received:
+			switch {
+			case p.flags&flagFromBalancer != 0:
+				r[broken].Add(1)
+				return false
+			case p.flags&flagReset != 0:
+				r[ended].Add(1)
+				return false
+			case len(p.data) > 0 && p.sequence == f.expected:
+				f.answer(p, text, isRepeated)
+				return true
+			}
+		case <-repeat:
+			wait *= 2
+			repeat, isRepeated = time.After(wait), true
+			f.send(flagAck, []byte(text))
+		case <-end:
+			r[timedOut].Add(1)
+			f.send(flagReset, nil)
+			return false
+		}
+	}
+}
+
+func (f *clientFlow) answer(p packet, text string, isRepeated bool) {
+	r := &f.load.result
+	f.cookie = p.cookie
+	f.sequence += uint32(len(text))
+	f.expected += uint32(len(p.data))
+	f.send(flagAck, nil)
+	r[answered].Add(1)
+	if isRepeated {
+		r[late].Add(1)
+	}
+	if string(p.data) != f.load.settings.Routes[f.address]+" answers "+text {
+		r[misrouted].Add(1)
+	}
+}
--- /dev/null
+++ b/standin/direct/store.go
@@ -0,0 +1,231 @@
+package direct
+
+import (
+	"encoding/json"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Fault is how a door of the store misbehaves. The zero value is none.
+type Fault struct {
+	Status   int           // answers every call with this status
+	IsSilent bool          // accepts calls and never answers
+	LoseAll  bool          // carries calls out and closes the connection without an answer
+	Delay    time.Duration // before each answer
+}
+
+// Store keeps objects by kind and name.
+type Store struct {
+	mu       sync.Mutex
+	objects  map[string]object // by kind/name
+	events   []event
+	forgot   uint64 // history up to this revision is gone
+	revision uint64
+	changed  chan struct{} // closed and replaced by each change
+}
+
+type object struct {
+	Meta   objectMeta      `json:"meta"`
+	Spec   json.RawMessage `json:"spec"`
+	Status json.RawMessage `json:"status"`
+}
+
+type objectMeta struct {
+	Name       string   `json:"name"`
+	Revision   uint64   `json:"rev"`
+	Finalizers []string `json:"finalizers"`
+}
+
+type event struct {
+	kind      string
+	revision  uint64
+	Object    object `json:"object"`
+	IsDeleted bool   `json:"deleted"`
+}
+
+// NewStore returns an empty store.
+func NewStore() *Store {
+	return &Store{objects: make(map[string]object), revision: 1, changed: make(chan struct{})}
+}
+
+// Put writes an object.
+func (s *Store) Put(kind, name string, spec any) error {
+	b, err := json.Marshal(spec)
+	if err != nil {
+		return errors.Wrap(err, "encode object")
+	}
+	s.write(kind, object{Meta: objectMeta{Name: name, Finalizers: []string{}}, Spec: b, Status: json.RawMessage("null")}, false)
+	return nil
+}
+
+// Delete removes an object.
+func (s *Store) Delete(kind, name string) {
+	s.write(kind, object{Meta: objectMeta{Name: name}}, true)
+}
+
+func (s *Store) write(kind string, o object, isDeleted bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	key := kind + "/" + o.Meta.Name
+	old, exists := s.objects[key]
+	if isDeleted && !exists || !isDeleted && exists && string(old.Spec) == string(o.Spec) {
+		return
+	}
+	s.revision++
+	if o.Meta.Revision = s.revision; isDeleted {
+		old.Meta.Revision = s.revision
+		o = old
+		delete(s.objects, key)
+	} else {
+		s.objects[key] = o
+	}
+	s.events = append(s.events, event{kind: kind, revision: s.revision, Object: o, IsDeleted: isDeleted})
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// Compact forgets the history.
+func (s *Store) Compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.events, s.forgot = nil, s.revision
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// Door is one listener of the store, with faults of its own.
+type Door struct {
+	store *Store
+	http  *http.Server
+	fault atomic.Pointer[Fault]
+	calls atomic.Int64 // answered or not, watches included
+	reads atomic.Int64 // of the configuration
+}
+
+// Listen opens a door.
+func (s *Store) Listen(address string) (*Door, error) {
+	l, err := net.Listen("tcp4", address)
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for store calls")
+	}
+	d := &Door{store: s}
+	d.SetFault(Fault{})
+	d.http = &http.Server{Handler: d, ReadHeaderTimeout: time.Minute}
+	go func() { _ = d.http.Serve(l) }() // ends with Close
+	return d, nil
+}
+
+// SetFault replaces the fault of the door.
+func (d *Door) SetFault(f Fault) { d.fault.Store(&f) }
+
+// Calls returns the number of calls so far, and how many of them read the configuration.
+func (d *Door) Calls() (all, configuration int64) { return d.calls.Load(), d.reads.Load() }
+
+// Close closes the door and its connections.
+func (d *Door) Close() { _ = d.http.Close() }
+
+// ServeHTTP implements http.Handler.
+func (d *Door) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	d.calls.Add(1)
+	f := *d.fault.Load()
+	switch {
+	case f.IsSilent:
+		<-r.Context().Done()
+		return
+	case f.Status != 0:
+		w.WriteHeader(f.Status)
+		return
+	case f.LoseAll:
+		panic(http.ErrAbortHandler)
+	}
+	time.Sleep(f.Delay)
+	kind, name, hasName := strings.Cut(strings.TrimPrefix(r.URL.Path, "/api/objects/"), "/")
+	switch q := r.URL.Query(); {
+	case r.Method != http.MethodGet:
+		w.WriteHeader(http.StatusMethodNotAllowed)
+	case hasName:
+		d.reads.Add(1)
+		d.get(w, kind, name)
+	case q.Get("watch") != "":
+		d.watch(w, r, kind)
+	default:
+		d.list(w, kind)
+	}
+}
+
+func (d *Door) get(w http.ResponseWriter, kind, name string) {
+	s := d.store
+	s.mu.Lock()
+	o, ok := s.objects[kind+"/"+name]
+	s.mu.Unlock()
+	if !ok {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	reply(w, o)
+}
+
+func (d *Door) list(w http.ResponseWriter, kind string) {
+	s := d.store
+	s.mu.Lock()
+	items := []object{}
+	for key, o := range s.objects {
+		if strings.HasPrefix(key, kind+"/") {
+			items = append(items, o)
+		}
+	}
+	at := s.revision
+	s.mu.Unlock()
+	slices.SortFunc(items, func(a, b object) int { return strings.Compare(a.Meta.Name, b.Meta.Name) })
+	reply(w, map[string]any{"items": items, "more": false, "at": at})
+}
+
+func (d *Door) watch(w http.ResponseWriter, r *http.Request, kind string) {
+	after, err := strconv.ParseUint(r.URL.Query().Get("watch"), 10, 64)
+	wait, err2 := strconv.Atoi(r.URL.Query().Get("wait_ms"))
+	if err != nil || err2 != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s := d.store
+	deadline := time.After(time.Duration(wait) * time.Millisecond)
+	for isOver := false; ; {
+		s.mu.Lock()
+		found := []event{}
+		for _, e := range s.events {
+			if e.kind == kind && e.revision > after {
+				found = append(found, e)
+			}
+		}
+		at, changed, isGone := s.revision, s.changed, after < s.forgot
+		s.mu.Unlock()
+		switch {
+		case isGone:
+			w.WriteHeader(http.StatusGone)
+			return
+		case len(found) > 0 || isOver:
+			reply(w, map[string]any{"events": found, "at": at})
+			return
+		}
+		select {
+		case <-changed:
+		case <-deadline:
+			isOver = true
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func reply(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v) // the caller is gone if this fails
+}
--- /dev/null
+++ b/test/process/direct_test.go
@@ -0,0 +1,370 @@
+package process_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+
+	"cornellb/standin/direct"
+)
+
+const (
+	readyLimit = 10 * time.Second // for a process to become ready; generous for a busy machine
+	applyLimit = 3 * time.Second  // bound of the settings
+)
+
+var (
+	feedAddress  = netip.MustParseAddrPort("198.18.0.1:8443")
+	imageAddress = netip.MustParseAddrPort("198.18.0.2:8443")
+	addedAddress = netip.MustParseAddrPort("198.18.0.3:8443")
+)
+
+// directFleets counts the fleets, whose processes have a network of loopback addresses each.
+var directFleets atomic.Int32
+
+// directFleet is a running deployment in the direct return mode: the stand-ins in this process, balancers as processes.
+type directFleet struct {
+	t         *testing.T
+	folder    string
+	store     *direct.Store
+	balancers []*directBalancer
+	endpoints map[string]*direct.Endpoint
+	port      uint16 // of packets, for balancers and clients
+	clients   netip.Addr
+	version   uint64
+	routes    map[netip.AddrPort]string
+}
+
+type directBalancer struct {
+	id, domain, settings string
+	ready                string // URL
+	ip                   netip.Addr
+	door                 *direct.Door
+	process              *process
+}
+
+// startDirect starts balancers in two failure domains before endpoints of two services.
+func startDirect(t *testing.T) *directFleet {
+	t.Helper()
+	port, err := netip.ParseAddrPort(freeAddress(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := &directFleet{
+		t: t, folder: t.TempDir(), store: direct.NewStore(), port: port.Port(), endpoints: map[string]*direct.Endpoint{},
+		routes: map[netip.AddrPort]string{feedAddress: "feed", imageAddress: "images"},
+	}
+	t.Cleanup(f.close)
+	f.configure()
+	for i, domain := range []string{"attiki-a", "attiki-b", "attiki-a", "attiki-b"} {
+		f.addEndpoint(fmt.Sprintf("i-f%d", i), "feed", domain)
+	}
+	f.addEndpoint("i-a0", "images", "attiki-a")
+	f.addEndpoint("i-a1", "images", "attiki-b")
+	network := byte(directFleets.Add(1))
+	f.clients = netip.AddrFrom4([4]byte{127, 78, network, 100})
+	for i, domain := range []string{"attiki-a", "attiki-a", "attiki-b", "attiki-b"} {
+		ip := netip.AddrFrom4([4]byte{127, 78, network, byte(i + 1)})
+		f.addBalancer(fmt.Sprint("front-", i), domain, ip)
+	}
+	for _, b := range f.balancers {
+		f.start(b)
+	}
+	for _, b := range f.balancers {
+		f.awaitReady(b)
+	}
+	return f
+}
+
+func (f *directFleet) close() {
+	for _, b := range f.balancers {
+		if b.process != nil {
+			b.process.kill()
+			if f.t.Failed() {
+				b.process.printLog(f.t)
+			}
+		}
+		b.door.Close()
+	}
+	for _, e := range f.endpoints {
+		e.Close()
+	}
+}
+
+// configure writes the routes as a new version.
+func (f *directFleet) configure() {
+	f.t.Helper()
+	f.version += 3
+	var routes, services []map[string]any
+	for a, service := range f.routes {
+		routes = append(routes, map[string]any{
+			"name": "r-" + service, "host": a.Addr().String(), "path_prefix": fmt.Sprintf("/%d/", a.Port()),
+			"service": service, "type": "safe",
+		})
+		services = append(services, map[string]any{"name": service})
+	}
+	err := f.store.Put("config", "main", map[string]any{
+		"version": f.version, "routes": routes, "services": services, "limits": map[string]any{"idle_timeout_ms": 15000},
+	})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+func (f *directFleet) addEndpoint(id, service, domain string) {
+	f.t.Helper()
+	e, err := direct.StartEndpoint(f.store, direct.EndpointSettings{
+		ID: id, Service: service, FailureDomain: domain, Slots: 3, ClientPort: f.port,
+	})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.endpoints[id] = e
+}
+
+func (f *directFleet) addBalancer(id, domain string, ip netip.Addr) {
+	f.t.Helper()
+	b := &directBalancer{id: id, domain: domain, ip: ip, settings: filepath.Join(f.folder, id+".yaml"),
+		ready: fmt.Sprintf("http://%s:%d/api/readiness", ip, f.port+1)}
+	address := freeAddress(f.t)
+	door, err := f.store.Listen(address)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	b.door = door
+	f.balancers = append(f.balancers, b)
+	text := fmt.Sprintf(`node_name: %s
+zone: %s
+a_new_field: {that: [is, unknown]}
+listen: {datagram_addr: "%[3]s:%[4]d", ready_addr: "%[3]s:%[5]d", control: "%[3]s:%[6]d"}
+internal_port_range: [%[7]d, %[7]d]
+seeds: ["%[8]s:%[6]d"]
+bounds: {config_apply_ms: %[9]d, grace_s: 6, max_flow_s: 60}
+platform: {address: "%[10]s"}
+`, id, domain, ip, f.port, f.port+1, f.port+2, f.port+3, f.balancers[0].ip, applyLimit.Milliseconds(), address)
+	if err := os.WriteFile(b.settings, []byte(text), 0o600); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+func (f *directFleet) start(b *directBalancer) {
+	f.t.Helper()
+	b.process = startProcess(f.t, f.folder, b.id, "cornellb", "forwarder", "--settings", b.settings)
+}
+
+func (f *directFleet) awaitReady(b *directBalancer) {
+	f.t.Helper()
+	eventually(f.t, readyLimit, b.id+" is ready", func() error {
+		response, err := httpClient.Get(b.ready)
+		if err != nil {
+			return err
+		}
+		_ = response.Body.Close()
+		if response.StatusCode != 200 {
+			return errors.Errorf("status %d", response.StatusCode)
+		}
+		return nil
+	})
+}
+
+// startLoad starts clients whose fabric knows all balancers.
+func (f *directFleet) startLoad() *direct.Load {
+	f.t.Helper()
+	var balancers []direct.Balancer
+	for _, b := range f.balancers {
+		balancers = append(balancers, direct.Balancer{Packets: netip.AddrPortFrom(b.ip, f.port), Ready: b.ready})
+	}
+	l, err := direct.StartClients(direct.ClientSettings{
+		Address: f.clients, ClientPort: f.port, Balancers: balancers,
+		Routes: map[netip.AddrPort]string{feedAddress: "feed", imageAddress: "images"},
+		Flows:  24, Requests: 12, Pause: 40 * time.Millisecond, Deadline: 3 * time.Second,
+	})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return l
+}
+
+// judge checks what must hold whatever happens.
+func (f *directFleet) judge(r direct.Result) {
+	f.t.Helper()
+	f.t.Logf("%+v", r)
+	is := is.New(f.t)
+	is.True(r.Answered > 500)
+	is.Equal(r.Broken, int64(0))
+	is.Equal(r.Misrouted, int64(0))
+	is.Equal(r.Forged, int64(0))
+	for _, e := range f.endpoints {
+		is.Equal(e.Forged(), int64(0))
+	}
+}
+
+// TestDirectPlannedChanges guards against flows that are cut or requests that are lost by planned changes: balancers are
+// restarted one after the other, endpoints leave and come, routes are added and removed. Each request is answered.
+func TestDirectPlannedChanges(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := startDirect(t)
+	load := f.startLoad()
+	time.Sleep(time.Second)
+	is.NoErr(f.endpoints["i-f0"].Drain())
+	f.addEndpoint("i-f9", "feed", "attiki-a")
+	f.routes[addedAddress] = "feed"
+	f.configure()
+	for _, b := range f.balancers[:2] {
+		b.process.signal(syscall.SIGHUP)
+		b.process.signal(syscall.SIGTERM)
+		b.process.awaitExit(t, 7*time.Second)
+		f.start(b)
+		f.awaitReady(b)
+		time.Sleep(readyPause)
+	}
+	opened := f.endpoints["i-f0"].Opened()
+	f.endpoints["i-f0"].Remove()
+	time.Sleep(time.Second)
+	is.Equal(f.endpoints["i-f0"].Opened(), opened) // nothing new for an endpoint that leaves
+	is.True(f.endpoints["i-f9"].Opened() > 0)
+	r := load.Stop()
+	f.judge(r)
+	is.Equal(r.Unopened, int64(0))
+	is.Equal(r.Refused, int64(0))
+	is.Equal(r.TimedOut, int64(0))
+}
+
+// readyPause lets the fabric take a balancer back before the next one leaves.
+const readyPause = time.Second
+
+// TestDirectKilledBalancer guards against flows that end with the balancer that passed their packets on.
+func TestDirectKilledBalancer(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := startDirect(t)
+	load := f.startLoad()
+	time.Sleep(time.Second)
+	f.balancers[0].process.kill()
+	time.Sleep(3 * time.Second)
+	f.start(f.balancers[0])
+	f.awaitReady(f.balancers[0])
+	time.Sleep(time.Second)
+	r := load.Stop()
+	f.judge(r)
+	is.Equal(r.TimedOut, int64(0)) // the balancer is out of the rotation after about a second
+}
+
+// TestDirectVersionWithoutStore guards against a balancer that keeps an old configuration because the store does not
+// serve it: it is refused, gets no answers, or loses them, and hears of the version from other balancers.
+func TestDirectVersionWithoutStore(t *testing.T) {
+	t.Parallel()
+	faults := map[string]direct.Fault{
+		"refused": {Status: 503}, "limited": {Status: 429}, "silent": {IsSilent: true}, "lost": {LoseAll: true},
+	}
+	f := startDirect(t)
+	for name, fault := range faults {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			for _, b := range f.balancers[1:] {
+				b.door.SetFault(fault)
+			}
+			f.routes[addedAddress] = "feed"
+			f.configure()
+			changed := time.Now()
+			eventually(t, applyLimit, "version is in force", func() error {
+				for _, b := range f.balancers {
+					if v := f.status(b); v != f.version {
+						return errors.Errorf("%s has version %d", b.id, v)
+					}
+				}
+				return nil
+			})
+			t.Logf("in force everywhere after %v", time.Since(changed))
+			for _, b := range f.balancers {
+				b.door.SetFault(direct.Fault{})
+			}
+			is.True(time.Since(changed) < applyLimit)
+		})
+	}
+}
+
+// TestDirectLostHistory guards against endpoints that are missed when the store forgets its history.
+func TestDirectLostHistory(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := startDirect(t)
+	load := f.startLoad()
+	f.store.Compact()
+	f.addEndpoint("i-f9", "feed", "attiki-a")
+	f.store.Compact()
+	eventually(t, applyLimit, "the new endpoint gets flows", func() error {
+		if f.endpoints["i-f9"].Opened() == 0 {
+			return errors.New("no flow")
+		}
+		return nil
+	})
+	time.Sleep(time.Second)
+	r := load.Stop()
+	f.judge(r)
+	is.Equal(r.TimedOut, int64(0))
+}
+
+// TestDirectSilentEndpoint guards against flows that are opened at an endpoint which has fallen silent, long before its
+// entry lapses.
+func TestDirectSilentEndpoint(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := startDirect(t)
+	load := f.startLoad()
+	time.Sleep(time.Second)
+	f.endpoints["i-f0"].SetDark(true)
+	time.Sleep(2 * time.Second)
+	before := load.Result()
+	time.Sleep(2 * time.Second)
+	r := load.Stop()
+	f.judge(r)
+	is.Equal(r.Unopened, int64(0))
+	is.True(r.TimedOut-before.TimedOut <= 24) // flows that were open there, at most all of them
+}
+
+// TestDirectFewReaders guards against store calls that grow with the number of balancers.
+func TestDirectFewReaders(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := startDirect(t)
+	time.Sleep(3 * time.Second) // the members find each other
+	before := make([]int64, len(f.balancers))
+	for i, b := range f.balancers {
+		_, before[i] = b.door.Calls()
+	}
+	time.Sleep(4 * time.Second)
+	readers := 0
+	for i, b := range f.balancers {
+		if _, after := b.door.Calls(); after-before[i] > 1 {
+			readers++
+		}
+	}
+	is.Equal(readers, 2) // one in each failure domain
+}
+
+// status returns the version in force at a balancer, 0 if it does not answer.
+func (f *directFleet) status(b *directBalancer) uint64 {
+	response, err := httpClient.Get(fmt.Sprintf("http://%s:9464/status", b.ip))
+	if err != nil {
+		return 0
+	}
+	defer response.Body.Close()
+	var s struct {
+		Version uint64 `json:"version"`
+	}
+	if err := json.NewDecoder(response.Body).Decode(&s); err != nil {
+		return 0
+	}
+	return s.Version
+}
