Keep changes of endpoints complete, and stop herds on new endpoints

A balancer that took the same announcement twice remembered its changes in a wrong order and, when it announced by itself, claimed that they were complete. Balancers that advanced by it missed that endpoints were leaving.

Change: flows placed lately count once more for each other balancer that reports.

--- a/core/coordination/discovery/discovery.go
+++ b/core/coordination/discovery/discovery.go
@@ -13,7 +13,7 @@
 //	s := discovery.New(discovery.Config{FlowAge: time.Minute, ReturnTime: 2 * time.Second})
 //	s.Configure(now, configuration)
 //	s.Replace(now, endpoints, revision)
-//	s.Change(now, discovery.Change{ID: id, Endpoint: &endpoint, Revision: revision})
+//	s.Apply(now, changes, revision, newRevision)
 //	if snapshot, ok := s.Snapshot(now); ok {
 //		// publish it: something has changed since the last call
 //	}
@@ -133,16 +133,19 @@
 // maxRecent is the number of changes that are kept for other balancers. They fit into one datagram.
 const maxRecent = 8
 
-func (s *State) remember(c Change) {
-	if len(s.recent) >= maxRecent {
-		s.recentBase = s.recent[0].Revision
-		s.recent = slices.Clone(s.recent[1:])
+// remember keeps changes that follow on those which are kept. Too many at once are not kept: whoever lacks them fetches
+// the whole.
+func (s *State) remember(changes []Change) {
+	recent := append(slices.Clone(s.recent), changes...)
+	if over := len(recent) - maxRecent; over > 0 {
+		s.recentBase = recent[over-1].Revision
+		recent = recent[over:]
 	}
-	s.recent = append(s.recent, c)
+	s.recent = recent
 }
 
-// Recent returns the newest changes and the revision after which they are complete.
-func (s *State) Recent() ([]Change, uint64) { return s.recent, s.recentBase }
+// Recent returns the newest changes, and the revision that they follow on.
+func (s *State) Recent() (changes []Change, after uint64) { return s.recent, s.recentBase }
 
 // LapsedUntil returns the time until which entries that lapsed during an outage of the store stay usable.
 func (s *State) LapsedUntil() time.Time { return s.awayUntil }
@@ -165,15 +168,28 @@
 	return list
 }
 
-// Change takes one event of the registry. It reports false for an event that is older than what is known of the entry.
-func (s *State) Change(now time.Time, c Change) bool {
-	e := s.entries[c.ID]
-	if e != nil && c.Revision < e.revision {
-		return false
+// Apply takes the changes between two revisions of the store in their order. It returns those that were new here, and
+// false if changes before after are not known, or if nothing is new. after is the revision that the changes follow on.
+func (s *State) Apply(now time.Time, changes []Change, after, revision uint64) (applied []Change, ok bool) {
+	if !s.isListed || s.revision < after || s.revision >= revision {
+		return nil, false
 	}
-	s.revision = max(s.revision, c.Revision)
-	s.remember(c)
+	for _, c := range changes {
+		if s.change(now, c) {
+			applied = append(applied, c)
+		}
+	}
+	s.remember(applied)
+	s.revision = revision
+	return applied, true
+}
+
+// change takes one change. It reports false if the entry is known as of that revision or a later one.
+func (s *State) change(now time.Time, c Change) bool {
+	e := s.entries[c.ID]
 	switch {
+	case e != nil && c.Revision <= e.revision || c.Revision <= s.revision:
+		return false
 	case c.Endpoint != nil:
 		s.put(c.Endpoint, c.Revision)
 	case e != nil && e.isRegistered:
@@ -185,9 +201,6 @@
 	return true
 }
 
-// Advance notes that everything up to a revision is known, for watches that end without an event for us.
-func (s *State) Advance(revision uint64) { s.revision = max(s.revision, revision) }
-
 func (s *State) put(endpoint *directory.Endpoint, revision uint64) {
 	e := s.entries[endpoint.ID]
 	if e == nil {
@@ -195,7 +208,7 @@
 		s.entries[endpoint.ID] = e
 	}
 	if revision < e.revision {
-		return
+		return // a change was known before the list
 	}
 	known := *endpoint
 	e.endpoint, e.revision, e.isRegistered = &known, revision, true
--- a/core/coordination/steering/choice.go
+++ b/core/coordination/steering/choice.go
@@ -21,7 +21,7 @@
 		if v == nil || !v.hasCookie {
 			continue
 		}
-		cost := v.load(now) + tieNoise*f.random.Float64()/float64(max(e.Slots, 1))
+		cost := v.load(now, len(f.reports)) + tieNoise*f.random.Float64()/float64(max(e.Slots, 1))
 		if e.FailureDomain != f.config.FailureDomain {
 			cost += farPenalty
 		}
--- a/core/coordination/steering/flow.go
+++ b/core/coordination/steering/flow.go
@@ -85,6 +85,7 @@
 		*w = flow{server: v, isOpening: true, openedAt: now, sequence: p.Sequence}
 		v.flows++
 		v.opening++
+		v.placed++
 	}
 	w.seenAt = now
 }
@@ -191,6 +192,9 @@
 	}
 	f.swept = now
 	f.expireReports(now)
+	for _, v := range f.servers {
+		v.placed /= 2
+	}
 	idle := time.Duration(defaultIdle)
 	if f.snapshot != nil && f.snapshot.Configuration.IdleTimeout > 0 {
 		idle = f.snapshot.Configuration.IdleTimeout
--- /dev/null
+++ b/core/coordination/steering/herd_test.go
@@ -0,0 +1,114 @@
+package steering_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"cornellb/core/coordination/steering"
+	"cornellb/core/state/directory"
+	"cornellb/core/state/member"
+)
+
+// fleet is several balancers of one failure domain before the same endpoints, which report to each other.
+type fleet struct {
+	balancers []*world
+	endpoints []*directory.Endpoint
+	flows     map[string]int // open flows by endpoint
+	open      []fleetFlow
+	random    *rand.Rand
+}
+
+type fleetFlow struct {
+	world *world
+	flow  *flow
+}
+
+func newFleet(balancers int, endpoints ...*directory.Endpoint) *fleet {
+	f := &fleet{flows: map[string]int{}, endpoints: endpoints, random: rand.New(rand.NewPCG(3, 4))}
+	for i := range balancers {
+		w := newWorld(endpoints...)
+		w.Forwarder = steering.New(steering.Config{FailureDomain: "attiki-1"}, recorder{}, rand.New(rand.NewPCG(uint64(i), 9)))
+		w.publish()
+		f.balancers = append(f.balancers, w)
+	}
+	return f
+}
+
+// pass lets a time pass in which flows open at a rate over all balancers, old ones end, and each balancer reports once a
+// second to up to 8 others.
+func (f *fleet) pass(t *testing.T, d time.Duration, perSecond int, life time.Duration) {
+	t.Helper()
+	const step = 20 * time.Millisecond
+	for range int(d / step) {
+		for i, w := range f.balancers {
+			w.pass(step)
+			if w.now.Sub(start)/step%50 == time.Duration(i%50) {
+				f.report(i)
+			}
+		}
+		for range int(float64(perSecond) * step.Seconds()) {
+			w := f.balancers[f.random.IntN(len(f.balancers))]
+			g := w.established(t)
+			f.flows[g.endpoint.ID]++
+			f.open = append(f.open, fleetFlow{w, g})
+		}
+		keep := f.open[:0]
+		for _, o := range f.open {
+			if f.random.Float64() < step.Seconds()/life.Seconds() {
+				o.world.close(o.flow)
+				f.flows[o.flow.endpoint.ID]--
+				continue
+			}
+			keep = append(keep, o)
+			o.world.request(o.flow)
+			o.world.answer(o.flow)
+		}
+		f.open = keep
+	}
+}
+
+func (f *fleet) report(from int) {
+	r := f.balancers[from].Report(f.balancers[from].now)
+	r.Sender = member.Incarnation(from + 1)
+	for _, to := range f.random.Perm(len(f.balancers))[:min(8, len(f.balancers))] {
+		if to != from {
+			f.balancers[to].HearReport(f.balancers[to].now, r)
+		}
+	}
+}
+
+func (f *fleet) mean() float64 { return float64(len(f.open)) / float64(len(f.endpoints)) }
+
+// TestHerdOnNewEndpoint answers the pattern of a release under load: endpoints are replaced one after the other, and all
+// balancers see that the new one has no flows before they hear of the flows that the others send there. Together they
+// must not send it much more than its share.
+func TestHerdOnNewEndpoint(t *testing.T) {
+	for name, balancers := range map[string]int{"3 balancers": 3, "24 balancers": 24} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var endpoints []*directory.Endpoint
+			for _, id := range []string{"i-1", "i-2", "i-3", "i-4", "i-5", "i-6", "i-7", "i-8"} {
+				endpoints = append(endpoints, endpoint(id, "attiki-1"))
+			}
+			f := newFleet(balancers, endpoints...)
+			f.pass(t, 12*time.Second, 200, 2*time.Second)
+			f.endpoints = append(f.endpoints, endpoint("i-9", "attiki-1"))
+			for _, w := range f.balancers {
+				w.endpoints = f.endpoints
+				w.publish()
+			}
+			worst := 0.0
+			for range 40 {
+				f.pass(t, 100*time.Millisecond, 200, 2*time.Second)
+				worst = max(worst, float64(f.flows["i-9"])/f.mean())
+			}
+			t.Logf("at most %.2f of the mean", worst)
+			is.True(worst < 1.5)
+			f.pass(t, 4*time.Second, 200, 2*time.Second)
+			is.True(float64(f.flows["i-9"]) > 0.6*f.mean()) // it gets its share in the end
+		})
+	}
+}
--- a/core/coordination/steering/server.go
+++ b/core/coordination/steering/server.go
@@ -21,11 +21,12 @@
 type server struct {
 	endpoint     *directory.Endpoint
 	cookie       uint32
-	hasCookie    bool // false if every cookie of the endpoint belongs to another one too
-	flows        int  // tracked here, those that are opening included
-	remote       int  // as other balancers of the failure domain report
-	opening      int  // tracked here, not answered yet
-	waiting      int  // flows with data that is not answered yet
+	hasCookie    bool    // false if every cookie of the endpoint belongs to another one too
+	flows        int     // tracked here, those that are opening included
+	remote       int     // as other balancers of the failure domain report
+	placed       float64 // flows placed here lately; halves with each sweep
+	opening      int     // tracked here, not answered yet
+	waiting      int     // flows with data that is not answered yet
 	progressAt   time.Time
 	failures     int // since the last progress
 	suspectUntil time.Time
@@ -56,11 +57,13 @@
 	return v.failures == 0 || !now.Before(v.suspectUntil) && v.opening == 0
 }
 
-// load returns the flows in proportion to what the endpoint can bear, with one more flow.
-func (v *server) load(now time.Time) float64 {
+// load returns the flows in proportion to what the endpoint can bear, with one more flow. Each of the other balancers
+// decides like this one and reports later, so that flows placed here lately count once more for each of them. Otherwise
+// all would fill an endpoint that has just come.
+func (v *server) load(now time.Time, others int) float64 {
 	capacity := float64(max(v.endpoint.Slots, 1))
 	if now.Before(v.endpoint.WarmAt) {
 		capacity *= coldShare
 	}
-	return float64(v.flows+v.remote+1) / capacity
+	return (float64(v.flows+v.remote+1) + float64(others)*v.placed) / capacity
 }
--- a/io/transport/direct/peers.go
+++ b/io/transport/direct/peers.go
@@ -151,14 +151,7 @@
 			return
 		}
 		p.state.KeepLapsed(now.Add(a.LapsedFor))
-		if p.isComplete.Load() && p.state.Revision() >= a.Base {
-			for _, c := range a.Changes {
-				if p.state.Change(now, c) {
-					p.logChange(c, "balancer")
-				}
-			}
-			p.state.Advance(a.Revision)
-		}
+		p.apply(now, a.Changes, a.Base, a.Revision, "balancer")
 		isBehind = p.state.Version() < a.Version || p.state.Revision() < a.Revision
 		h.adopt(now, a)
 	})
--- a/io/transport/direct/reader.go
+++ b/io/transport/direct/reader.go
@@ -180,17 +180,20 @@
 	}
 	p.reportFaults(faults)
 	p.update(func(now time.Time) {
-		for _, c := range changes {
-			if p.state.Change(now, c) {
-				p.logChange(c, "store")
-			}
-		}
-		p.state.Advance(revision)
+		p.apply(now, changes, after, revision, "store")
 		p.peers.plan.ConfirmEndpoints(now)
 	})
 	return nil
 }
 
+// apply takes changes of endpoints over. The caller holds p.mu.
+func (p *Process) apply(now time.Time, changes []discovery.Change, after, revision uint64, source string) {
+	applied, _ := p.state.Apply(now, changes, after, revision)
+	for _, c := range applied {
+		p.logChange(c, source)
+	}
+}
+
 // logChange logs what a change of an endpoint means for new flows.
 func (p *Process) logChange(c discovery.Change, source string) {
 	if c.Endpoint == nil {
