Pass flows of a route's former service through balancers that have just started

A version moved a route to another service while flows were open; balancers restarted after it knew only the new version and dropped 3,070 packets of these flows because their cookie named an endpoint of a service that the route does not allow. Ruled out: endpoints (no arrival), the store (versions in force everywhere), lost packets (0.1 %).

Change: the service of a cookie is checked only once the process has run longer than the longest life of a flow. Each decision on a flow and each change of what is believed of an endpoint has a log line now, bounded for each kind, and lines never wait for the output.

--- a/command/forwarder.go
+++ b/command/forwarder.go
@@ -37,7 +37,9 @@
 		Example: "  cornellb forwarder --settings settings.yaml",
 		Args:    inputArgs(cobra.NoArgs),
 		RunE: func(c *cobra.Command, _ []string) error {
-			return runForwarder(file, newLogger(settings.Log{Level: "info", Format: "json"}, c.OutOrStdout()))
+			out := direct.NewAsyncWriter(c.OutOrStdout())
+			err := runForwarder(file, newLogger(settings.Log{Level: "info", Format: "json"}, out))
+			return errors.Wrap(firstOf(err, out.Close()), "forwarder")
 		},
 	}
 	c.Flags().StringVar(&file, "settings", platform.SettingsFile(), "the platform's settings file of this process")
@@ -75,6 +77,15 @@
 	return nil
 }
 
+func firstOf(errs ...error) error {
+	for _, err := range errs {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // awaitEnd waits for a signal to end and calls reload for each SIGHUP before.
 func awaitEnd(signals <-chan os.Signal, reload func()) {
 	for s := range signals {
--- a/core/coordination/steering/report.go
+++ b/core/coordination/steering/report.go
@@ -75,8 +75,13 @@
 	f.reports[r.Sender] = heardReport{at: now, loads: r.Loads}
 	for _, cookie := range r.Silent {
 		if v := f.byCookie[cookie]; v != nil && !v.progressAt.After(now.Add(-hearsay)) {
+			if v.failures == 0 {
+				v.failures = 1
+				f.believe(Belief{
+					What: "endpoint suspect", Endpoint: v.endpoint.ID, Failures: 1, For: hearsay, Cause: "reported by a balancer",
+				})
+			}
 			v.suspectUntil = later(v.suspectUntil, now.Add(hearsay))
-			v.failures = max(v.failures, 1)
 		}
 	}
 }
--- a/core/coordination/steering/steering.go
+++ b/core/coordination/steering/steering.go
@@ -83,6 +83,11 @@
 	Reason   Reason
 	Endpoint *directory.Endpoint // set for Forward
 	Cookie   uint32              // to write into the packet, for Forward
+	Load     float64             // flows for each slot of the endpoint, of an opening packet
+	Former   *directory.Endpoint // that did not answer an earlier copy of the opening packet
+
+	Version    uint64        // of the configuration that decided
+	VersionAge time.Duration // since it was known to be the newest
 }
 
 // Recorder counts events.
@@ -93,7 +98,8 @@
 // Config describes the balancer.
 type Config struct {
 	FailureDomain string
-	MaxFlows      int // flows that are tracked; further ones are forwarded untracked. 0 means DefaultMaxFlows
+	FlowAge       time.Duration // longest life of a flow; 0 if there is no limit
+	MaxFlows      int           // flows that are tracked; further ones are forwarded untracked. 0 means DefaultMaxFlows
 }
 
 // Forwarder decides on packets.
@@ -110,6 +116,8 @@
 	flows     map[FlowKey]*flow
 	reports   map[member.Incarnation]heardReport
 	swept     time.Time
+	started   time.Time // of the first snapshot with a configuration
+	beliefs   []Belief
 }
 
 // New returns a Forwarder without a snapshot; it drops all packets.
@@ -129,6 +137,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.snapshot = s
+	if f.started.IsZero() && s.Configuration.Version != 0 {
+		f.started = now
+	}
 	known := make(map[string]bool, len(s.Endpoints()))
 	for _, e := range s.Endpoints() {
 		known[e.ID] = true
@@ -172,6 +183,9 @@
 	default:
 		d = f.pass(now, p)
 	}
+	if f.snapshot != nil {
+		d.Version, d.VersionAge = f.snapshot.Configuration.Version, now.Sub(f.confirmed)
+	}
 	switch d.Verdict {
 	case Forward:
 		kind := "data"
@@ -193,9 +207,9 @@
 	if route == nil {
 		return f.missingRoute(now, p)
 	}
+	var excluded *server
 	v, isRepeated := f.repeated(now, p)
 	if v == nil {
-		var excluded *server
 		if isRepeated {
 			excluded = f.flows[p.Flow].server
 		}
@@ -206,7 +220,11 @@
 		return Decision{Verdict: Reset, Reason: ReasonNoEndpoint}
 	}
 	f.track(now, p, v)
-	return Decision{Verdict: Forward, Endpoint: v.endpoint, Cookie: v.cookie}
+	d := Decision{Verdict: Forward, Endpoint: v.endpoint, Cookie: v.cookie, Load: v.fill()}
+	if excluded != nil && excluded != v {
+		d.Former = excluded.endpoint
+	}
+	return d
 }
 
 // missingRoute refuses a flow at once if the configuration is known to be fresh. Otherwise the client's next copy of the
@@ -254,7 +272,7 @@
 		}
 		return Decision{Reason: ReasonNoRoute}
 	}
-	if !f.snapshot.Allowed(p.Flow.Service, e.Service) {
+	if f.knowsHistory(now) && !f.snapshot.Allowed(p.Flow.Service, e.Service) {
 		return Decision{Reason: ReasonWrongService}
 	}
 	if v := f.servers[e.ID]; v != nil {
@@ -263,6 +281,11 @@
 	return Decision{Verdict: Forward, Endpoint: e, Cookie: p.Cookie}
 }
 
+// knowsHistory reports whether this process has seen every version that an open flow may come from.
+func (f *Forwarder) knowsHistory(now time.Time) bool {
+	return f.config.FlowAge > 0 && now.Sub(f.started) > f.config.FlowAge
+}
+
 // Flows returns the number of flows that are tracked.
 func (f *Forwarder) Flows() int {
 	f.mu.Lock()
--- a/io/transport/direct/direct.go
+++ b/io/transport/direct/direct.go
@@ -88,6 +88,7 @@
 	ready     *readyServer
 	operator  *operator.Server
 	peers     *peers
+	decisions *decisionLog
 
 	mu    sync.Mutex // guards the fields below
 	state *discovery.State
@@ -109,7 +110,7 @@
 // Start opens the sockets and begins to read the store. The process is ready once it knows routes and endpoints.
 func Start(s *Settings, a Adapters, log *slog.Logger) (*Process, error) {
 	p := &Process{
-		settings: s, adapters: a, log: log, bad: make(map[string]string),
+		settings: s, adapters: a, log: log, decisions: newDecisionLog(log), bad: make(map[string]string),
 		wantedConfiguration: make(chan struct{}, 1), wantedEndpoints: make(chan struct{}, 1),
 		state: discovery.New(discovery.Config{FlowAge: s.FlowAge, ReturnTime: returnTime}),
 	}
@@ -132,7 +133,7 @@
 		return err
 	}
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	p.forwarder = steering.New(steering.Config{FailureDomain: p.settings.FailureDomain}, p.metrics, random)
+	p.forwarder = steering.New(steering.Config{FailureDomain: p.settings.FailureDomain, FlowAge: p.settings.FlowAge}, p.metrics, random)
 	if p.peers, err = joinPeers(p); err != nil {
 		return err
 	}
@@ -193,6 +194,7 @@
 		case <-p.adapters.Clock.After(tickInterval):
 		}
 		p.update(func(now time.Time) { p.forwarder.Tick(now) })
+		p.logBeliefs()
 	}
 }
 
--- a/io/transport/direct/reader.go
+++ b/io/transport/direct/reader.go
@@ -206,12 +206,8 @@
 
 // wake lets the reads check at once whether they are due.
 func (p *Process) wake() {
-	for _, c := range []chan struct{}{p.wantedConfiguration, p.wantedEndpoints} {
-		select {
-		case c <- struct{}{}:
-		default:
-		}
-	}
+	p.want(p.wantedConfiguration)
+	p.want(p.wantedEndpoints)
 }
 
 // noteCall tells the state whether the store answers, and logs when that changes.
@@ -269,16 +265,25 @@
 // maxBad bounds the memory for faults that were logged.
 const maxBad = 1000
 
-// noteDecision asks for fresh data after a packet that could not be placed, and logs refusals.
-func (p *Process) noteDecision(packet *steering.Packet, d steering.Decision) {
-	if d.Verdict == steering.Forward {
+// noteDecision logs what happens to a flow, and asks for fresh data after a packet that could not be placed.
+func (p *Process) noteDecision(now time.Time, packet *steering.Packet, d steering.Decision) {
+	p.decisions.note(now, packet, d)
+	if d.Verdict != steering.Drop {
 		return
 	}
-	if d.Reason == steering.ReasonNoRoute && d.Verdict == steering.Drop {
-		select {
-		case p.wantedConfiguration <- struct{}{}:
-		default:
-		}
+	switch d.Reason {
+	case steering.ReasonNoRoute:
+		p.want(p.wantedConfiguration)
+	case steering.ReasonUnknownCookie:
+		p.want(p.wantedEndpoints)
+	}
+}
+
+// want asks for a read before the next regular one.
+func (p *Process) want(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
 	}
 }
 
--- a/io/transport/direct/socket.go
+++ b/io/transport/direct/socket.go
@@ -112,7 +112,7 @@
 			s.put(count, b, to)
 			count++
 		}
-		s.process.noteDecision(&p, d)
+		s.process.noteDecision(now, &p, d)
 	}
 	return count
 }
