Export ages and latencies of the direct return mode, and explain a failed request

Cause: an on-call engineer had counters and a few lines; the age of what a balancer knows, the time until endpoints answer and the way from a failed request to its cause were missing.

Change: histograms of opening and answer times by service, gauges for ages, suspects, members and dropped lines; docs/OPERATIONS.md (formerly operations.md) describes the mode, its log lines, and three searches. A test keeps the platform's names inside platform/.

--- a/command/balancer.go
+++ b/command/balancer.go
@@ -43,7 +43,7 @@
 			return runBalancer(s, newLogger(s.Log, c.ErrOrStderr()))
 		},
 	}
-	c.Flags().StringVar(&file, "settings", "", "YAML file with the settings, see docs/operations.md")
+	c.Flags().StringVar(&file, "settings", "", "YAML file with the settings, see docs/OPERATIONS.md")
 	return c
 }
 
--- a/command/forwarder.go
+++ b/command/forwarder.go
@@ -38,7 +38,7 @@
 		Args:    inputArgs(cobra.NoArgs),
 		RunE: func(c *cobra.Command, _ []string) error {
 			out := direct.NewAsyncWriter(c.OutOrStdout())
-			err := runForwarder(file, newLogger(settings.Log{Level: "info", Format: "json"}, out))
+			err := runForwarder(file, out)
 			return errors.Wrap(firstOf(err, out.Close()), "forwarder")
 		},
 	}
@@ -46,7 +46,8 @@
 	return c
 }
 
-func runForwarder(file string, log *slog.Logger) error {
+func runForwarder(file string, out *direct.AsyncWriter) error {
+	log := newLogger(settings.Log{Level: "info", Format: "json"}, out)
 	s, store, err := platform.LoadSettings(file)
 	if err != nil {
 		return &InputError{Message: err.Error()}
@@ -58,7 +59,7 @@
 	p, err := direct.Start(s, direct.Adapters{
 		Store: &platform.Store{Client: client.NewClient(store, storeTimeout, clock), Clock: clock},
 		Codec: platform.Codec{ClientPort: s.PacketAddress.Port()},
-		Clock: clock,
+		Clock: clock, Log: out,
 	}, log)
 	if err != nil {
 		return err
--- a/core/coordination/discovery/discovery.go
+++ b/core/coordination/discovery/discovery.go
@@ -157,6 +157,17 @@
 	}
 }
 
+// Open returns the number of endpoints that may get new flows.
+func (s *State) Open() int {
+	n := 0
+	for _, e := range s.entries {
+		if e.endpoint.IsOpen() {
+			n++
+		}
+	}
+	return n
+}
+
 // Registered returns the endpoints that are registered at Revision.
 func (s *State) Registered() []directory.Endpoint {
 	list := make([]directory.Endpoint, 0, len(s.entries))
--- a/core/coordination/spread/spread.go
+++ b/core/coordination/spread/spread.go
@@ -140,11 +140,16 @@
 	}
 }
 
+// Ages returns how long ago the configuration and the endpoints were known to be the newest.
+func (p *Plan) Ages(now time.Time) (configuration, endpoints time.Duration) {
+	return now.Sub(p.configuration.asOf), now.Sub(p.endpoints.asOf)
+}
+
 // Announce completes an announcement of this balancer.
 func (p *Plan) Announce(now time.Time, a *Announcement) {
 	p.sequence++
 	a.Reader, a.Sequence = p.self, p.sequence
-	a.VersionAge, a.RevisionAge = now.Sub(p.configuration.asOf), now.Sub(p.endpoints.asOf)
+	a.VersionAge, a.RevisionAge = p.Ages(now)
 }
 
 // Hear reports whether an announcement is new here. One that is not is not passed on either.
--- a/core/coordination/steering/flow.go
+++ b/core/coordination/steering/flow.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"cornellb/core/state/metric"
 )
 
 const (
@@ -133,12 +135,13 @@
 	case w.isOpening:
 		w.isOpening, w.isBlamed = false, false
 		v.opening--
+		f.recorder.ObserveService(metric.OpenTime, v.endpoint.Service, now.Sub(w.openedAt))
 		w.acknowledged = p.Acknowledgment
 		f.progress(now, v)
 	case int32(p.Acknowledgment-w.acknowledged) > 0:
 		w.acknowledged, w.isBlamed = p.Acknowledgment, false
 		f.progress(now, v)
-		w.answered(v)
+		f.answered(now, w)
 	}
 	if p.Length > 0 {
 		f.sent(now, p, w)
@@ -176,11 +179,13 @@
 }
 
 // answered ends the wait for an answer.
-func (w *flow) answered(v *server) {
-	if !w.sentAt.IsZero() {
-		w.sentAt = time.Time{}
-		v.waiting--
+func (f *Forwarder) answered(now time.Time, w *flow) {
+	if w.sentAt.IsZero() {
+		return
 	}
+	f.recorder.ObserveService(metric.FirstByte, w.server.endpoint.Service, now.Sub(w.sentAt))
+	w.sentAt = time.Time{}
+	w.server.waiting--
 }
 
 // Tick forgets flows that have ended unseen.
--- a/core/coordination/steering/steering.go
+++ b/core/coordination/steering/steering.go
@@ -90,9 +90,10 @@
 	VersionAge time.Duration // since it was known to be the newest
 }
 
-// Recorder counts events.
+// Recorder counts events and measures durations.
 type Recorder interface {
 	Count(c metric.Counter, label string, n int64)
+	ObserveService(h metric.Histogram, service string, d time.Duration)
 }
 
 // Config describes the balancer.
@@ -281,6 +282,19 @@
 	return Decision{Verdict: Forward, Endpoint: e, Cookie: p.Cookie}
 }
 
+// Suspects returns the number of endpoints that seem to be lost.
+func (f *Forwarder) Suspects(now time.Time) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for _, v := range f.servers {
+		if v.failures > 0 && now.Before(v.suspectUntil) {
+			n++
+		}
+	}
+	return n
+}
+
 // knowsHistory reports whether this process has seen every version that an open flow may come from.
 func (f *Forwarder) knowsHistory(now time.Time) bool {
 	return f.config.FlowAge > 0 && now.Sub(f.started) > f.config.FlowAge
--- a/core/state/metric/metric.go
+++ b/core/state/metric/metric.go
@@ -32,11 +32,29 @@
 	ResetSent   Counter = "resets_sent"      // reason: flows that a balancer reset in the direct return mode
 )
 
-// Histogram names a measured duration, recorded per customer and class.
+// Histogram names a measured duration, recorded per customer and class, or in the direct return mode per service.
 type Histogram string
 
 // The histograms.
 const (
 	Latency   Histogram = "request_seconds" // from arrival at the owner to the answer
 	QueueTime Histogram = "queue_seconds"   // from arrival at the owner to dispatch
+	OpenTime  Histogram = "open_seconds"    // from an opening packet to the client's answer, in the direct return mode
+	FirstByte Histogram = "answer_seconds"  // from data of a client to its next acknowledgement, in the direct return mode
+)
+
+// Gauge names a value that is read when the metrics are collected, in the direct return mode.
+type Gauge string
+
+// The gauges.
+const (
+	Version       Gauge = "configuration_version"
+	VersionAge    Gauge = "configuration_age_milliseconds" // since the version was known to be the newest
+	EndpointAge   Gauge = "endpoints_age_milliseconds"     // since the endpoints were known to be complete
+	OpenEndpoints Gauge = "endpoints_open"                 // that may get new flows
+	Suspects      Gauge = "endpoints_suspect"              // that do not answer this balancer
+	TrackedFlows  Gauge = "flows_tracked"
+	KnownMembers  Gauge = "members_reachable" // balancers, this one included
+	ReadsStore    Gauge = "is_reader"         // 1 while this balancer reads the store for its failure domain
+	LinesLeftOut  Gauge = "log_lines_dropped" // since the start: the output was too slow
 )
--- a/docs/architecture_test.go
+++ b/docs/architecture_test.go
@@ -16,7 +16,7 @@
 )
 
 // layers are the parts of the product, lowest first. A package imports packages of its own layer and of lower ones.
-var layers = []string{"core/state", "core/coordination", "io/protocol", "io/transport", "command", "cmd/cornellb"}
+var layers = []string{"core/state", "core/coordination", "io/protocol", "io/transport", "platform", "command", "cmd/cornellb"}
 
 // outside are not parts of the product. They may import all of it, and the product imports none of them.
 var outside = []string{"standin", "cmd/standin", "tools", "test"}
@@ -87,6 +87,35 @@
 	return slices.ContainsFunc(outside, func(s string) bool { return isBelow(path, s) })
 }
 
+// platformWords are names of the users' platform that no other package may know.
+var platformWords = []string{
+	"encap", "serializable", "cold_remaining_ms", "traffic_split", "path_prefix", "max_concurrency", "datagram_addr",
+	"ready_addr", "CORNELLB_BOOT", "/api/objects", "/api/readiness", "heartbeat_ms",
+}
+
+// TestPlatformWords guards against names of the platform outside of the adapter.
+func TestPlatformWords(t *testing.T) {
+	for _, p := range loadPackages(t) {
+		if isOutside(p.folder) || isBelow(p.folder, "platform") {
+			continue
+		}
+		for _, f := range p.files {
+			ast.Inspect(f, func(n ast.Node) bool {
+				literal, ok := n.(*ast.BasicLit)
+				if !ok || literal.Kind != token.STRING {
+					return true
+				}
+				for _, word := range platformWords {
+					if strings.Contains(literal.Value, word) {
+						t.Errorf("%s has the platform's name %s in %s", p.folder, word, literal.Value)
+					}
+				}
+				return true
+			})
+		}
+	}
+}
+
 // TestImports guards against a core that depends on sockets or codecs, and against a product that depends on stand-ins.
 func TestImports(t *testing.T) {
 	for _, p := range loadPackages(t) {
--- a/docs/commands_test.go
+++ b/docs/commands_test.go
@@ -40,7 +40,7 @@
 // fail or print something else than the page says.
 func TestCommands(t *testing.T) {
 	binaries := buildPrograms(t)
-	for _, page := range []string{"../README.md", "operations.md"} {
+	for _, page := range []string{"../README.md", "OPERATIONS.md"} {
 		t.Run(filepath.Base(page), func(t *testing.T) {
 			t.Parallel()
 			is := is.New(t)
--- a/docs/pages_test.go
+++ b/docs/pages_test.go
@@ -41,7 +41,7 @@
 		want = append(want, fmt.Sprintf("`%s` | %s", d.Name, value))
 	}
 	var got []string
-	for _, cells := range tableUnder(t, "operations.md", "| setting |") {
+	for _, cells := range tableUnder(t, "OPERATIONS.md", "| setting |") {
 		is.Equal(len(cells), 4)                    // setting, default, unit, meaning
 		is.True(cells[2] != "" && cells[3] != "")  // unit and meaning
 		got = append(got, cells[0]+" | "+cells[1]) // in the order of the code
@@ -55,13 +55,16 @@
 	is := is.New(t)
 	m, err := operator.NewMetrics("entry-1", "attiki-1")
 	is.NoErr(err)
-	counters, histograms := metricConstants(t)
+	counters, histograms, gauges := metricConstants(t)
 	for _, c := range counters {
 		m.Count(metric.Counter(c), "any", 1)
 	}
 	for _, h := range histograms {
 		m.Observe(metric.Histogram(h), "any", packet.ClassNormal, time.Second)
 	}
+	for _, g := range gauges {
+		is.NoErr(m.Gauge(metric.Gauge(g), func() int64 { return 1 }))
+	}
 	families, err := m.Registry.Gather()
 	is.NoErr(err)
 	exported := map[string]bool{}
@@ -70,14 +73,14 @@
 			exported[f.GetName()] = true
 		}
 	}
-	is.Equal(len(exported), len(counters)+len(histograms))
+	is.Equal(len(exported), len(counters)+len(histograms)+len(gauges))
 	listed := map[string]bool{}
-	for _, cells := range tableUnder(t, "operations.md", "| metric |") {
+	for _, cells := range tableUnder(t, "OPERATIONS.md", "| metric |") {
 		is.Equal(len(cells), 4) // metric, label, meaning, what to do
 		listed[strings.Trim(cells[0], "`")] = true
 	}
 	is.Equal(slices.Sorted(maps.Keys(listed)), slices.Sorted(maps.Keys(exported)))
-	page, err := os.ReadFile("operations.md")
+	page, err := os.ReadFile("OPERATIONS.md")
 	is.NoErr(err)
 	for _, name := range regexp.MustCompile(`\bcornellb_[a-z_]+`).FindAllString(string(page), -1) {
 		is.True(exported[name]) // alarm rules name metrics that exist
@@ -85,7 +88,7 @@
 }
 
 // metricConstants returns the values of the constants of core/state/metric.
-func metricConstants(t *testing.T) (counters, histograms []string) {
+func metricConstants(t *testing.T) (counters, histograms, gauges []string) {
 	t.Helper()
 	is := is.New(t)
 	f, err := parser.ParseFile(token.NewFileSet(), "../core/state/metric/metric.go", nil, 0)
@@ -102,11 +105,13 @@
 			counters = append(counters, value)
 		case "Histogram":
 			histograms = append(histograms, value)
+		case "Gauge":
+			gauges = append(gauges, value)
 		}
 		return true
 	})
-	is.True(len(counters) > 0 && len(histograms) > 0)
-	return counters, histograms
+	is.True(len(counters) > 0 && len(histograms) > 0 && len(gauges) > 0)
+	return counters, histograms, gauges
 }
 
 // TestReasonTable guards against reasons that callers receive and that the page does not explain.
@@ -116,7 +121,7 @@
 	for r := packet.ReasonNone + 1; r < packet.ReasonCount; r++ {
 		want = append(want, "`"+r.String()+"`")
 	}
-	for _, cells := range tableUnder(t, "operations.md", "| reason |") {
+	for _, cells := range tableUnder(t, "OPERATIONS.md", "| reason |") {
 		got = append(got, cells[0])
 	}
 	is.Equal(got, want)
--- a/io/protocol/settings/settings.go
+++ b/io/protocol/settings/settings.go
@@ -34,7 +34,7 @@
 	Level  string `json:"level,default=info,options=debug|info|warn|error"`
 }
 
-// Settings are the settings of one balancer. docs/operations.md describes each of them.
+// Settings are the settings of one balancer. docs/OPERATIONS.md describes each of them.
 type Settings struct {
 	ID              string        `json:"id"`                                                              // name of the host, unique in the fleet
 	FailureDomain   string        `json:"failure_domain"`                                                  // as used in the pools table
--- a/io/transport/direct/direct.go
+++ b/io/transport/direct/direct.go
@@ -76,6 +76,7 @@
 	Store Store
 	Codec Codec
 	Clock Clock
+	Log   *AsyncWriter // behind the logger; its count of dropped lines is exported
 }
 
 // Process is a running balancer.
@@ -145,6 +146,9 @@
 	if p.ready, err = listenReady(p.settings.ReadyAddress, p.settings.ReadyPath, p.IsReady, p.log); err != nil {
 		return err
 	}
+	if err = p.registerGauges(); err != nil {
+		return err
+	}
 	if !p.settings.OperatorAddress.IsValid() {
 		return nil
 	}
--- /dev/null
+++ b/io/transport/direct/gauges.go
@@ -0,0 +1,44 @@
+package direct
+
+import (
+	"time"
+
+	"cornellb/core/state/metric"
+)
+
+// registerGauges exports what this balancer knows and how old it is.
+func (p *Process) registerGauges() error {
+	gauges := map[metric.Gauge]func(now time.Time) int64{
+		metric.Version: func(time.Time) int64 { return int64(p.state.Version()) },
+		metric.VersionAge: func(now time.Time) int64 {
+			age, _ := p.peers.plan.Ages(now)
+			return age.Milliseconds()
+		},
+		metric.EndpointAge: func(now time.Time) int64 {
+			_, age := p.peers.plan.Ages(now)
+			return age.Milliseconds()
+		},
+		metric.OpenEndpoints: func(time.Time) int64 { return int64(p.state.Open()) },
+		metric.Suspects:      func(now time.Time) int64 { return int64(p.forwarder.Suspects(now)) },
+		metric.TrackedFlows:  func(time.Time) int64 { return int64(p.forwarder.Flows()) },
+		metric.KnownMembers:  func(time.Time) int64 { return int64(p.peers.reachable) },
+		metric.ReadsStore: func(time.Time) int64 {
+			if p.peers.plan.IsReader() {
+				return 1
+			}
+			return 0
+		},
+		metric.LinesLeftOut: func(time.Time) int64 { return p.adapters.Log.Dropped() },
+	}
+	for name, read := range gauges {
+		err := p.metrics.Gauge(name, func() int64 {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			return read(p.adapters.Clock.Now())
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/io/transport/direct/peers.go
+++ b/io/transport/direct/peers.go
@@ -36,6 +36,7 @@
 	transport *peer.Transport
 	runner    *peer.Runner
 	plan      *spread.Plan // under Process.mu
+	reachable int          // members, under Process.mu
 	self      member.Host
 	fetching  chan struct{} // holds a token while a directory is fetched
 }
@@ -92,6 +93,12 @@
 	p.mu.Lock()
 	was := h.plan.IsReader()
 	h.plan.SetView(v)
+	h.reachable = 0
+	for _, m := range v.Hosts {
+		if m.IsReachable() {
+			h.reachable++
+		}
+	}
 	is := h.plan.IsReader()
 	p.mu.Unlock()
 	if was != is {
--- a/io/transport/operator/metrics.go
+++ b/io/transport/operator/metrics.go
@@ -29,10 +29,12 @@
 	label   string
 }
 
+// histogramKey selects a series: a customer with a class, or a service.
 type histogramKey struct {
 	histogram metric.Histogram
 	customer  string
 	class     packet.Class
+	service   string
 }
 
 // Metrics records the counters and histograms of the decision core as OpenTelemetry instruments.
@@ -68,7 +70,7 @@
 	m.meter = m.provider.Meter("cornellb", otelmetric.WithInstrumentationAttributes(
 		attribute.String("host", host), attribute.String("failure_domain", failureDomain)))
 	m.counters.Store(&map[counterKey]*atomic.Int64{})
-	for _, name := range []metric.Histogram{metric.Latency, metric.QueueTime} {
+	for _, name := range []metric.Histogram{metric.Latency, metric.QueueTime, metric.OpenTime, metric.FirstByte} {
 		h, err := m.meter.Float64Histogram(string(name), otelmetric.WithExplicitBucketBoundaries(latencyBounds...))
 		if err != nil {
 			return nil, errors.Wrapf(err, "create histogram %s", name)
@@ -144,7 +146,12 @@
 
 // Observe records a duration in a histogram of the customer and the class.
 func (m *Metrics) Observe(h metric.Histogram, customer string, class packet.Class, d time.Duration) {
-	m.histograms[h].Record(context.Background(), d.Seconds(), m.option(histogramKey{h, customer, class}))
+	m.histograms[h].Record(context.Background(), d.Seconds(), m.option(histogramKey{histogram: h, customer: customer, class: class}))
+}
+
+// ObserveService records a duration in a histogram of the service.
+func (m *Metrics) ObserveService(h metric.Histogram, service string, d time.Duration) {
+	m.histograms[h].Record(context.Background(), d.Seconds(), m.option(histogramKey{histogram: h, service: service}))
 }
 
 func (m *Metrics) option(key histogramKey) otelmetric.MeasurementOption {
@@ -156,6 +163,11 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if key.service != "" {
+		o = otelmetric.WithAttributeSet(attribute.NewSet(attribute.String("service", key.service)))
+		m.options[key] = o
+		return o
+	}
 	if !m.customers[key.customer] && len(m.customers) >= maxCustomers {
 		key.customer = "other"
 	}
@@ -167,8 +179,8 @@
 }
 
 // Gauge registers a value that is read at collection.
-func (m *Metrics) Gauge(name string, read func() int64) error {
-	_, err := m.meter.Int64ObservableGauge(name, otelmetric.WithInt64Callback(
+func (m *Metrics) Gauge(name metric.Gauge, read func() int64) error {
+	_, err := m.meter.Int64ObservableGauge(string(name), otelmetric.WithInt64Callback(
 		func(_ context.Context, o otelmetric.Int64Observer) error {
 			o.Observe(read())
 			return nil
