Send new flows to other failure domains when the own one is overloaded

Cause: a balancer used other failure domains only when all endpoints of its own were suspect.

Change: reports also go to three balancers of other failure domains each second, and receivers extrapolate what a part of a domain's balancers report. An endpoint elsewhere gets a flow if the load in the own domain is above 1.5 times its load and two flows for each slot more. A failure domain whose endpoints do not answer is avoided like a silent endpoint.

--- a/core/coordination/spread/spread.go
+++ b/core/coordination/spread/spread.go
@@ -216,14 +216,3 @@
 	first := min(fanout*own+1, len(order))
 	return order[first:min(first+fanout, len(order))]
 }
-
-// Members returns the other balancers of the failure domain.
-func (p *Plan) Members() []member.Host {
-	others := make([]member.Host, 0, len(p.members))
-	for _, h := range p.members {
-		if h.Incarnation != p.self {
-			others = append(others, h)
-		}
-	}
-	return others
-}
--- a/core/coordination/steering/choice.go
+++ b/core/coordination/steering/choice.go
@@ -2,9 +2,13 @@
 
 import "time"
 
-// farPenalty is added to the load of endpoints in other failure domains. As each balancer counts its own flows only, the
-// others' endpoints look idle to it.
-const farPenalty = 1000
+// Endpoints of other failure domains get a new flow if the load of those in the own one is more than FarFactor times
+// theirs and FarMargin flows for each slot above. The zones of today's deployments differ by up to 1.4 in the load of
+// their endpoints, which is no reason to send flows over links that are slower, priced, and cut at times.
+const (
+	FarFactor = 1.5
+	FarMargin = 2.0
+)
 
 // tieNoise spreads flows of several balancers over endpoints that look equal, in flows.
 const tieNoise = 0.5
@@ -21,11 +25,13 @@
 		if v == nil || !v.hasCookie {
 			continue
 		}
-		cost := v.load(now, len(f.reports)) + tieNoise*f.random.Float64()/float64(max(e.Slots, 1))
+		cost := v.load(now, f.domainOf(f.config.FailureDomain).reporters) + tieNoise*f.random.Float64()/float64(max(e.Slots, 1))
+		isTrusted := v.isTrusted(now)
 		if e.FailureDomain != f.config.FailureDomain {
-			cost += farPenalty
+			cost = FarFactor*cost + FarMargin
+			isTrusted = isTrusted && f.domainOf(e.FailureDomain).isTrusted(now)
 		}
-		if !v.isTrusted(now) {
+		if !isTrusted {
 			cost += suspectPenalty * float64(1+v.failures)
 		}
 		if v == excluded {
--- a/core/coordination/steering/dead_test.go
+++ b/core/coordination/steering/dead_test.go
@@ -187,9 +187,9 @@
 	}
 	s := newSilence(t)
 	s.step(time.Second, true)
-	s.HearReport(s.now, &steering.Report{Sender: 7, IsPartial: true, Silences: of(2)})
+	s.HearReport(s.now, &steering.Report{Sender: 7, IsPartial: true, Silences: of(2)}, near)
 	is.Equal(s.request(s.silent[4]).Verdict, steering.Forward) // two flows are not enough
-	s.HearReport(s.now, &steering.Report{Sender: 8, IsPartial: true, Silences: of(1)})
+	s.HearReport(s.now, &steering.Report{Sender: 8, IsPartial: true, Silences: of(1)}, near)
 	is.Equal(s.request(s.silent[3]).Verdict, steering.Reset)
 	s.step(1500*time.Millisecond, true) // the others no longer say so
 	is.Equal(s.request(s.silent[2]).Verdict, steering.Forward)
@@ -198,15 +198,15 @@
 	s.step(500*time.Millisecond, true)
 	s.request(s.silent[0])
 	s.answer(s.silent[0]) // it answers here
-	s.HearReport(s.now, &steering.Report{Sender: 7, IsPartial: true, Silences: of(9)})
+	s.HearReport(s.now, &steering.Report{Sender: 7, IsPartial: true, Silences: of(9)}, near)
 	is.Equal(s.request(s.silent[4]).Verdict, steering.Forward)
 
 	s = newSilence(t)
 	s.step(time.Second, true)
-	s.HearReport(s.now, &steering.Report{Sender: 7, IsPartial: true, Silences: of(2)})
+	s.HearReport(s.now, &steering.Report{Sender: 7, IsPartial: true, Silences: of(2)}, near)
 	s.request(s.silent[0])
 	s.step(200*time.Millisecond, true)
-	s.HearReport(s.now, &steering.Report{Sender: 7, IsPartial: true, Silences: of(2)})
+	s.HearReport(s.now, &steering.Report{Sender: 7, IsPartial: true, Silences: of(2)}, near)
 	is.Equal(s.request(s.silent[0]).Verdict, steering.Reset) // two there and one here
 }
 
@@ -238,7 +238,7 @@
 
 	other := newSilence(t)
 	other.step(time.Second, true)
-	other.HearReport(other.now, r)
+	other.HearReport(other.now, r, near)
 	is.Equal(len(other.ReportSilences(other.now).Silences), 0)
 
 	cut := newSilence(t)
--- a/core/coordination/steering/report.go
+++ b/core/coordination/steering/report.go
@@ -44,8 +44,10 @@
 }
 
 type heardReport struct {
-	at    time.Time
-	loads []Load
+	at            time.Time
+	loads         []Load
+	failureDomain string
+	scale         float64
 }
 
 // heardSilence is another balancer's evidence against an endpoint.
@@ -88,14 +90,17 @@
 }
 
 // HearReport takes the loads and the evidence of another balancer into account.
-func (f *Forwarder) HearReport(now time.Time, r *Report) {
+func (f *Forwarder) HearReport(now time.Time, r *Report, from Origin) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.snapshot == nil {
 		return
 	}
 	if !r.IsPartial {
-		f.hearLoads(now, r)
+		f.hearLoads(now, r, from)
+	}
+	if from.FailureDomain != f.config.FailureDomain {
+		return // its links to the endpoints are others
 	}
 	for _, s := range r.Silences {
 		if v := f.byCookie[s.Cookie]; v != nil {
@@ -104,14 +109,18 @@
 	}
 }
 
-func (f *Forwarder) hearLoads(now time.Time, r *Report) {
+func (f *Forwarder) hearLoads(now time.Time, r *Report, from Origin) {
 	old, isKnown := f.reports[r.Sender]
 	if !isKnown && len(f.reports) >= maxReporters {
 		return
 	}
-	f.addRemote(old.loads, -1)
-	f.addRemote(r.Loads, 1)
-	f.reports[r.Sender] = heardReport{at: now, loads: r.Loads}
+	f.addRemote(old.loads, -old.scale)
+	if !isKnown {
+		f.domainOf(from.FailureDomain).reporters++
+	}
+	heard := heardReport{at: now, loads: r.Loads, failureDomain: from.FailureDomain, scale: f.scaleOf(from)}
+	f.addRemote(heard.loads, heard.scale)
+	f.reports[r.Sender] = heard
 }
 
 func (f *Forwarder) hearSilence(now time.Time, v *server, sender member.Incarnation, s Silence) {
@@ -130,7 +139,7 @@
 			What: EndpointSuspect, Endpoint: v.endpoint.ID, Failures: 1, For: hearsay, Cause: "reported by a balancer",
 		})
 	}
-	v.suspectUntil = later(v.suspectUntil, now.Add(hearsay))
+	v.until = later(v.until, now.Add(hearsay))
 }
 
 func later(a, b time.Time) time.Time {
@@ -140,10 +149,10 @@
 	return b
 }
 
-func (f *Forwarder) addRemote(loads []Load, sign int) {
+func (f *Forwarder) addRemote(loads []Load, scale float64) {
 	for _, l := range loads {
 		if v := f.byCookie[l.Cookie]; v != nil {
-			v.remote = max(v.remote+sign*l.Flows, 0)
+			v.remote = max(v.remote+scale*float64(l.Flows), 0)
 		}
 	}
 }
@@ -152,7 +161,8 @@
 func (f *Forwarder) expireReports(now time.Time) {
 	for sender, r := range f.reports {
 		if now.Sub(r.at) > reportAge {
-			f.addRemote(r.loads, -1)
+			f.addRemote(r.loads, -r.scale)
+			f.domainOf(r.failureDomain).reporters--
 			delete(f.reports, sender)
 		}
 	}
@@ -166,6 +176,6 @@
 		f.byCookie[directory.Cookie(id, 0)] = v
 	}
 	for _, r := range f.reports {
-		f.addRemote(r.loads, 1)
+		f.addRemote(r.loads, r.scale)
 	}
 }
--- a/core/coordination/steering/server.go
+++ b/core/coordination/steering/server.go
@@ -20,31 +20,32 @@
 
 // server is one endpoint as seen from this balancer.
 type server struct {
-	endpoint     *directory.Endpoint
-	cookie       uint32
-	hasCookie    bool    // false if every cookie of the endpoint belongs to another one too
-	flows        int     // tracked here, those that are opening included
-	remote       int     // as other balancers of the failure domain report
-	placed       float64 // flows placed here lately; halves with each sweep
-	opening      int     // tracked here, not answered yet
-	waiting      int     // flows with data that is not answered yet
-	progressAt   time.Time
-	failures     int       // since the last progress
-	silentFlows  int       // flows that have repeated data in vain since the last progress
-	silentSince  time.Time // when the first of these data was sent
-	silentAt     time.Time // when such data were last repeated
-	suspectUntil time.Time
-	heard        map[member.Incarnation]heardSilence // evidence of other balancers
+	endpoint   *directory.Endpoint
+	cookie     uint32
+	hasCookie  bool    // false if every cookie of the endpoint belongs to another one too
+	flows      int     // tracked here, those that are opening included
+	remote     float64 // as other balancers report, extrapolated to all of them
+	placed     float64 // flows placed here lately; halves with each sweep
+	opening    int     // tracked here, not answered yet
+	waiting    int     // flows with data that is not answered yet
+	progressAt time.Time
+	suspicion
+	silentFlows int                                 // flows that have repeated data in vain since the last progress
+	silentSince time.Time                           // when the first of these data was sent
+	silentAt    time.Time                           // when such data were last repeated
+	heard       map[member.Incarnation]heardSilence // evidence of other balancers
 }
 
 // restart drops what was learned about the former incarnation. Its flows are forgotten as they end.
 func (v *server) restart() {
-	v.progressAt, v.failures, v.suspectUntil, v.silentFlows = time.Time{}, 0, time.Time{}, 0
+	v.progressAt, v.suspicion, v.silentFlows = time.Time{}, suspicion{}, 0
 	clear(v.heard)
 }
 
 // fill returns the flows for each slot.
-func (v *server) fill() float64 { return float64(v.flows+v.remote) / float64(max(v.endpoint.Slots, 1)) }
+func (v *server) fill() float64 {
+	return (float64(v.flows) + v.remote) / float64(max(v.endpoint.Slots, 1))
+}
 
 // What a balancer believes of an endpoint, as it appears in log lines.
 const (
@@ -85,15 +86,17 @@
 	if v.failures > 0 {
 		f.believe(Belief{What: EndpointAnswers, Endpoint: v.endpoint.ID, Failures: v.failures})
 	}
-	v.progressAt, v.failures, v.suspectUntil, v.silentFlows = now, 0, time.Time{}, 0
+	v.progressAt, v.suspicion, v.silentFlows = now, suspicion{}, 0
+	f.domainOf(v.endpoint.FailureDomain).suspicion = suspicion{}
 	f.progress.note(now, v)
 }
 
 // fail notes that the endpoint did not answer.
 func (f *Forwarder) fail(now time.Time, v *server, cause string) {
-	pause := min(firstSuspicion<<min(v.failures, 8), maxSuspicion)
-	v.failures++
-	v.suspectUntil = later(v.suspectUntil, now.Add(pause))
+	pause := v.suspicion.fail(now)
+	if v.endpoint.FailureDomain != f.config.FailureDomain {
+		f.domainOf(v.endpoint.FailureDomain).suspicion.fail(now)
+	}
 	f.believe(Belief{
 		What: EndpointSuspect, Endpoint: v.endpoint.ID, Failures: v.failures, For: pause, Cause: cause,
 	})
@@ -102,7 +105,7 @@
 // isTrusted reports whether the endpoint may get a new flow without a sign that it may be lost. After a suspicion it is
 // tried with one flow at a time until it shows a sign of life.
 func (v *server) isTrusted(now time.Time) bool {
-	return v.failures == 0 || !now.Before(v.suspectUntil) && v.opening == 0
+	return v.failures == 0 || v.suspicion.isTrusted(now) && v.opening == 0
 }
 
 // load returns the flows in proportion to what the endpoint can bear, with one more flow. Each of the other balancers
@@ -113,5 +116,5 @@
 	if now.Before(v.endpoint.WarmAt) {
 		capacity *= coldShare
 	}
-	return (float64(v.flows+v.remote+1) + float64(others)*v.placed) / capacity
+	return (float64(v.flows+1) + v.remote + float64(others)*v.placed) / capacity
 }
--- /dev/null
+++ b/core/coordination/steering/spill_test.go
@@ -0,0 +1,94 @@
+package steering_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"cornellb/core/coordination/steering"
+	"cornellb/core/state/directory"
+)
+
+// spill is a world with two endpoints in the own failure domain and two in another one, whose load other balancers
+// report.
+func spill() *world {
+	w := newWorld(endpoint("i-1", "attiki-1"), endpoint("i-2", "attiki-1"), endpoint("i-3", "attiki-2"), endpoint("i-4", "attiki-2"))
+	w.idle = time.Hour
+	w.publish()
+	return w
+}
+
+func (w *world) reportFar(flows int) {
+	w.HearReport(w.now, &steering.Report{Sender: 9, Loads: []steering.Load{
+		{Cookie: directory.Cookie("i-3", 0), Flows: flows}, {Cookie: directory.Cookie("i-4", 0), Flows: flows},
+	}}, steering.Origin{FailureDomain: "attiki-2", Members: 1})
+}
+
+// TestBurstInOneDomain answers the pattern of a burst in one failure domain, or of endpoints lost there, while the others
+// have room: work goes to the others instead of being refused, and comes back afterwards.
+func TestBurstInOneDomain(t *testing.T) {
+	is := is.New(t)
+	w := spill()
+	counts := map[string]int{}
+	for range 200 {
+		w.reportFar(12)
+		counts[w.established(t).endpoint.FailureDomain]++
+		w.pass(50 * time.Millisecond)
+	}
+	// 12 flows on 3 slots are a load of 4. The own domain takes flows up to 1.5 times that and two more.
+	near := float64(counts["attiki-1"]) / 6
+	far := float64(counts["attiki-2"]+24) / 6
+	t.Logf("%.1f flows for each slot in the own domain, %.1f in the other one", near, far)
+	is.True(near > far)                                           // the own domain is preferred
+	is.True(near < steering.FarFactor*far+1.5*steering.FarMargin) // and not overloaded
+}
+
+// TestEvenDomains guards against flows that cross failure domains without need: small differences of load are normal.
+func TestEvenDomains(t *testing.T) {
+	is := is.New(t)
+	w := spill()
+	for range 30 {
+		w.reportFar(12)
+		is.Equal(w.established(t).endpoint.FailureDomain, "attiki-1")
+		w.pass(50 * time.Millisecond)
+	}
+}
+
+// TestSampledReports guards against endpoints of other failure domains that look idle, because only some of the balancers
+// there report to this one.
+func TestSampledReports(t *testing.T) {
+	is := is.New(t)
+	w := spill()
+	sample := &steering.Report{Sender: 9, Loads: []steering.Load{
+		{Cookie: directory.Cookie("i-3", 0), Flows: 2}, {Cookie: directory.Cookie("i-4", 0), Flows: 2},
+	}}
+	for range 30 {
+		w.HearReport(w.now, sample, steering.Origin{FailureDomain: "attiki-2", Members: 6})
+		is.Equal(w.established(t).endpoint.FailureDomain, "attiki-1")
+		w.pass(50 * time.Millisecond)
+	}
+}
+
+// TestCutWithBurst answers the pattern of a burst during a cut: the other failure domains look idle, and cannot be
+// reached. After the first flows without an answer no others are sent there.
+func TestCutWithBurst(t *testing.T) {
+	is := is.New(t)
+	w := spill()
+	lost := 0
+	for range 300 {
+		w.reportFar(0)
+		f, d := w.open(feed)
+		w.pass(10 * time.Millisecond)
+		if d.Endpoint.FailureDomain == "attiki-1" {
+			w.confirm(f)
+			continue
+		}
+		lost++
+		w.pass(200 * time.Millisecond)
+		is.Equal(w.repeat(f).Endpoint.FailureDomain, "attiki-1")
+		w.confirm(f)
+	}
+	t.Logf("%d flows waited 200 ms", lost)
+	is.True(lost <= 8)
+}
--- a/core/coordination/steering/steering.go
+++ b/core/coordination/steering/steering.go
@@ -117,6 +117,7 @@
 	byCookie  map[uint32]*server // by the first cookie
 	flows     map[FlowKey]*flow
 	reports   map[member.Incarnation]heardReport
+	domains   map[string]*domain
 	swept     time.Time
 	started   time.Time // of the first snapshot with a configuration
 	beliefs   []Belief
@@ -132,7 +133,7 @@
 	return &Forwarder{
 		config: c, recorder: r, random: random,
 		servers: make(map[string]*server), flows: make(map[FlowKey]*flow),
-		reports: make(map[member.Incarnation]heardReport),
+		reports: make(map[member.Incarnation]heardReport), domains: make(map[string]*domain),
 	}
 }
 
@@ -295,7 +296,7 @@
 	defer f.mu.Unlock()
 	n := 0
 	for _, v := range f.servers {
-		if v.failures > 0 && now.Before(v.suspectUntil) {
+		if v.failures > 0 && now.Before(v.until) {
 			n++
 		}
 	}
--- a/core/coordination/steering/steering_test.go
+++ b/core/coordination/steering/steering_test.go
@@ -24,6 +24,9 @@
 
 var testConfig = steering.Config{FailureDomain: "attiki-1", FlowAge: flowAge}
 
+// near is the origin of a report from the own failure domain. All balancers there report.
+var near = steering.Origin{FailureDomain: "attiki-1", Members: 2}
+
 type recorder struct{}
 
 func (recorder) Count(metric.Counter, string, int64)                    {}
@@ -468,11 +471,11 @@
 	w.idle = time.Hour
 	w.publish()
 	r := &steering.Report{Sender: 7, Loads: []steering.Load{{Cookie: directory.Cookie("i-1", 0), Flows: 10}}}
-	w.HearReport(w.now, r)
-	w.HearReport(w.now, r) // the newest report replaces the one before
+	w.HearReport(w.now, r, near)
+	w.HearReport(w.now, r, near) // the newest report replaces the one before
 	next := func() string {
 		w.pass(2 * time.Second) // flows that come together are placed with the other balancer's in mind
-		w.HearReport(w.now, r)
+		w.HearReport(w.now, r, near)
 		f := w.established(t)
 		w.request(f)
 		w.answer(f)
@@ -499,7 +502,7 @@
 	is := is.New(t)
 	w := newWorld(endpoint("i-1", "attiki-1"), endpoint("i-2", "attiki-1"))
 	silent := &steering.Report{Sender: 7, Silences: []steering.Silence{{Cookie: directory.Cookie("i-1", 0), Flows: 1}}}
-	w.HearReport(w.now, silent)
+	w.HearReport(w.now, silent, near)
 	for range 10 {
 		_, d := w.open(feed)
 		is.Equal(d.Endpoint.ID, "i-2")
@@ -509,7 +512,7 @@
 	for f == nil || f.endpoint.ID != "i-1" {
 		f = w.established(t)
 	}
-	w.HearReport(w.now, silent) // it has answered here just now
+	w.HearReport(w.now, silent, near) // it has answered here just now
 	counts := map[string]int{}
 	for range 10 {
 		counts[w.established(t).endpoint.ID]++
--- a/io/transport/direct/peers.go
+++ b/io/transport/direct/peers.go
@@ -30,6 +30,8 @@
 	// reportFanout is the number of balancers that get each report: all at today's size, and at the two-year size enough
 	// for some 80 reports within the time that a report counts.
 	reportFanout = 8
+	// farFanout is the number of balancers in other failure domains that get each report. The receivers extrapolate.
+	farFanout = 3
 )
 
 // peers connects a process with the other balancers.
@@ -37,8 +39,10 @@
 	process   *Process
 	transport *peer.Transport
 	runner    *peer.Runner
-	plan      *spread.Plan // under Process.mu
-	reachable int          // members, under Process.mu
+	plan      *spread.Plan   // under Process.mu
+	view      *member.View   // the rest of the group is under Process.mu too
+	members   map[string]int // reachable ones by failure domain
+	reachable int
 	self      member.Host
 	urgent    chan struct{} // asks for a report at once
 	fetching  chan struct{} // holds a token while a directory is fetched
@@ -96,10 +100,11 @@
 	p.mu.Lock()
 	was := h.plan.IsReader()
 	h.plan.SetView(v)
-	h.reachable = 0
+	h.view, h.reachable, h.members = v, 0, make(map[string]int)
 	for _, m := range v.Hosts {
 		if m.IsReachable() {
 			h.reachable++
+			h.members[m.FailureDomain]++
 		}
 	}
 	is := h.plan.IsReader()
@@ -263,7 +268,17 @@
 
 // HandleLoad implements peer.DirectoryHandler.
 func (h *peers) HandleLoad(_ netip.AddrPort, r *steering.Report) {
-	h.process.forwarder.HearReport(h.process.adapters.Clock.Now(), r)
+	p := h.process
+	p.mu.Lock()
+	sender, isKnown := member.Host{}, false
+	if h.view != nil {
+		sender, isKnown = h.view.Lookup(r.Sender)
+	}
+	from := steering.Origin{FailureDomain: sender.FailureDomain, Members: h.members[sender.FailureDomain]}
+	p.mu.Unlock()
+	if isKnown {
+		p.forwarder.HearReport(p.adapters.Clock.Now(), r, from)
+	}
 }
 
 // report tells other balancers of the failure domain about flows and silent endpoints, and in between of silent
@@ -281,11 +296,7 @@
 			continue
 		}
 		r.Sender = h.self.Incarnation
-		p.mu.Lock()
-		others := h.plan.Members()
-		p.mu.Unlock()
-		rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
-		for _, m := range others[:min(len(others), reportFanout)] {
+		for _, m := range h.audience(r) {
 			h.transport.SendLoad(m.Address, r)
 		}
 		if !p.pause(urgentPause, nil) {
@@ -293,3 +304,33 @@
 		}
 	}
 }
+
+// audience returns random members of the own failure domain, and for loads some of the others too.
+func (h *peers) audience(r *steering.Report) []member.Host {
+	h.process.mu.Lock()
+	defer h.process.mu.Unlock()
+	var near, far []member.Host
+	if h.view == nil {
+		return nil
+	}
+	for _, m := range h.view.Hosts {
+		switch {
+		case m.Incarnation == h.self.Incarnation || !m.IsReachable():
+		case m.FailureDomain == h.self.FailureDomain:
+			near = append(near, m)
+		default:
+			far = append(far, m)
+		}
+	}
+	list := sample(near, reportFanout)
+	if !r.IsPartial {
+		list = append(list, sample(far, farFanout)...)
+	}
+	return list
+}
+
+// sample returns up to n random hosts, in any order.
+func sample(hosts []member.Host, n int) []member.Host {
+	rand.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
+	return hosts[:min(len(hosts), n)]
+}
