Tell a wave of new flows from overload

Flows that were just placed, counted once more for each other balancer, made the own domain look overloaded, and a balancer that had just started took domains from which nobody reports for idle.

Change: flows placed lately count against the endpoint elsewhere alone; domains without reports count as loaded; the margin is 4 flows for each slot, since loads of 25 are usual.

--- a/core/coordination/steering/choice.go
+++ b/core/coordination/steering/choice.go
@@ -7,9 +7,13 @@
 // their endpoints, which is no reason to send flows over links that are slower, priced, and cut at times.
 const (
 	FarFactor = 1.5
-	FarMargin = 2.0
+	FarMargin = 4.0
 )
 
+// unknownLoad is added to the load of endpoints in failure domains from which no balancer reports, in flows for each slot.
+// It is above the usual load of today's deployments, about 25.
+const unknownLoad = 100
+
 // tieNoise spreads flows of several balancers over endpoints that look equal, in flows.
 const tieNoise = 0.5
 
@@ -17,29 +21,57 @@
 const suspectPenalty = 1e6
 
 // choose returns the server for a new flow of a service, or nil. The excluded server is taken only if there is no other.
+// Of the best server in the own failure domain and the best one elsewhere, the latter needs a clear advantage.
 func (f *Forwarder) choose(now time.Time, service string, excluded *server) *server {
-	var best *server
-	lowest := 0.0
+	var near, far *server
+	var lowestNear, lowestFar float64
 	for _, e := range f.snapshot.EndpointsOf(service) {
 		v := f.servers[e.ID]
 		if v == nil || !v.hasCookie {
 			continue
 		}
-		cost := v.load(now, f.domainOf(f.config.FailureDomain).reporters) + tieNoise*f.random.Float64()/float64(max(e.Slots, 1))
-		isTrusted := v.isTrusted(now)
-		if e.FailureDomain != f.config.FailureDomain {
-			cost = FarFactor*cost + FarMargin
-			isTrusted = isTrusted && f.domainOf(e.FailureDomain).isTrusted(now)
-		}
-		if !isTrusted {
-			cost += suspectPenalty * float64(1+v.failures)
-		}
-		if v == excluded {
-			cost += suspectPenalty * suspectPenalty
+		cost := f.cost(now, v, excluded)
+		switch {
+		case e.FailureDomain == f.config.FailureDomain:
+			if near == nil || cost < lowestNear {
+				near, lowestNear = v, cost
+			}
+		case far == nil || cost < lowestFar:
+			far, lowestFar = v, cost
 		}
-		if best == nil || cost < lowest {
-			best, lowest = v, cost
+	}
+	switch {
+	case near == nil:
+		return far
+	case far == nil || lowestFar >= suspectPenalty && lowestFar >= lowestNear:
+		return near
+	case lowestNear >= suspectPenalty:
+		return far
+	}
+	// Flows placed lately count against the far one alone, so that a wave of new flows does not look like overload here.
+	if near.load(now, 0) > FarFactor*lowestFar+FarMargin {
+		return far
+	}
+	return near
+}
+
+// cost ranks the servers of one failure domain.
+func (f *Forwarder) cost(now time.Time, v, excluded *server) float64 {
+	others := f.domainOf(f.config.FailureDomain).reporters
+	cost := v.load(now, others) + tieNoise*f.random.Float64()/float64(max(v.endpoint.Slots, 1))
+	isTrusted := v.isTrusted(now)
+	if name := v.endpoint.FailureDomain; name != f.config.FailureDomain {
+		d := f.domainOf(name)
+		if d.reporters == 0 {
+			cost += unknownLoad
 		}
+		isTrusted = isTrusted && d.isTrusted(now)
+	}
+	if !isTrusted {
+		cost += suspectPenalty * float64(1+v.failures)
+	}
+	if v == excluded {
+		cost += suspectPenalty * suspectPenalty
 	}
-	return best
+	return cost
 }
--- a/core/coordination/steering/spill_test.go
+++ b/core/coordination/steering/spill_test.go
@@ -36,7 +36,7 @@
 		counts[w.established(t).endpoint.FailureDomain]++
 		w.pass(50 * time.Millisecond)
 	}
-	// 12 flows on 3 slots are a load of 4. The own domain takes flows up to 1.5 times that and two more.
+	// 12 flows on 3 slots are a load of 4. The own domain takes flows up to FarFactor times that and FarMargin more.
 	near := float64(counts["attiki-1"]) / 6
 	far := float64(counts["attiki-2"]+24) / 6
 	t.Logf("%.1f flows for each slot in the own domain, %.1f in the other one", near, far)
@@ -55,6 +55,20 @@
 	}
 }
 
+// TestWaveOfFlows answers the pattern of many flows that open at one moment, at the start of a day or after a loss: flows
+// that this balancer has just placed in its own domain, and those that it expects of others, are no reason to leave it.
+func TestWaveOfFlows(t *testing.T) {
+	is := is.New(t)
+	w := spill()
+	w.HearReport(w.now, &steering.Report{Sender: 7, Loads: []steering.Load{
+		{Cookie: directory.Cookie("i-1", 0), Flows: 60}, {Cookie: directory.Cookie("i-2", 0), Flows: 60},
+	}}, steering.Origin{FailureDomain: "attiki-1", Members: 2})
+	w.reportFar(60)
+	for range 40 {
+		is.Equal(w.established(t).endpoint.FailureDomain, "attiki-1")
+	}
+}
+
 // TestSampledReports guards against endpoints of other failure domains that look idle, because only some of the balancers
 // there report to this one.
 func TestSampledReports(t *testing.T) {
@@ -92,3 +106,14 @@
 	t.Logf("%d flows waited 200 ms", lost)
 	is.True(lost <= 8)
 }
+
+// TestStartKnowsNoLoads guards against a balancer that has just started and takes the other failure domains for idle,
+// because it has heard no reports from there: after a loss of all machines it would open flows across domains.
+func TestStartKnowsNoLoads(t *testing.T) {
+	is := is.New(t)
+	w := spill()
+	for range 60 {
+		is.Equal(w.established(t).endpoint.FailureDomain, "attiki-1")
+		w.pass(20 * time.Millisecond)
+	}
+}
