Take over changed settings while a balancer runs

Cause: SIGHUP only checked the settings file, and a change without a signal was not seen.

Change: the file is read on SIGHUP and every 5 s; peers and time limits are taken over, a faulty or half-written file is logged and changes nothing, changes of names and addresses wait for the next start.

--- a/command/forwarder.go
+++ b/command/forwarder.go
@@ -1,6 +1,7 @@
 package command
 
 import (
+	"bytes"
 	"context"
 	"log/slog"
 	"os"
@@ -65,11 +66,17 @@
 		return err
 	}
 	defer p.Close()
-	awaitEnd(signals, func() { reloadForwarder(file, log) })
+	watch := &settingsWatch{file: file, log: log, process: p}
+	watch.content, _ = os.ReadFile(file) // without it the first look reloads
+	watch.awaitEnd(signals)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go func() {
-		awaitEnd(signals, func() {})
+		for signal := range signals {
+			if signal != syscall.SIGHUP {
+				break
+			}
+		}
 		cancel()
 	}()
 	if err := p.Drain(ctx); err != nil && !errors.Is(err, context.Canceled) {
@@ -87,21 +94,48 @@
 	return nil
 }
 
-// awaitEnd waits for a signal to end and calls reload for each SIGHUP before.
-func awaitEnd(signals <-chan os.Signal, reload func()) {
-	for s := range signals {
-		if s != syscall.SIGHUP {
-			return
+// settingsInterval is the time between two looks at the settings file, which may change without a signal.
+const settingsInterval = 5 * time.Second
+
+// settingsWatch reloads the settings file when it is told to, or when its content has changed.
+type settingsWatch struct {
+	file    string
+	content []byte // as last read
+	log     *slog.Logger
+	process *direct.Process
+}
+
+// awaitEnd waits for a signal to end.
+func (w *settingsWatch) awaitEnd(signals <-chan os.Signal) {
+	look := time.NewTicker(settingsInterval)
+	defer look.Stop()
+	for {
+		select {
+		case s := <-signals:
+			if s != syscall.SIGHUP {
+				return
+			}
+			w.reload(true)
+		case <-look.C:
+			w.reload(false)
 		}
-		reload()
 	}
 }
 
-// reloadForwarder checks the settings file. The addresses of a process cannot change while it runs.
-func reloadForwarder(file string, log *slog.Logger) {
-	if _, _, err := platform.LoadSettings(file); err != nil {
-		log.Error("settings not reloaded, the former ones stay in force", "file", file, "error", err)
+// reload puts changed settings in force. Without a signal, a file that has not changed is left alone.
+func (w *settingsWatch) reload(isSignalled bool) {
+	content, err := os.ReadFile(w.file)
+	if err == nil && !isSignalled && bytes.Equal(content, w.content) {
+		return
+	}
+	var s *direct.Settings
+	if err == nil {
+		w.content = content
+		s, _, err = platform.ParseSettings(w.file, content)
+	}
+	if err != nil {
+		w.log.Error("settings not reloaded, the former ones stay in force", "file", w.file, "error", err)
 		return
 	}
-	log.Info("settings reloaded", "file", file)
+	w.process.Reload(s)
 }
--- a/core/coordination/spread/spread.go
+++ b/core/coordination/spread/spread.go
@@ -78,6 +78,11 @@
 	}
 }
 
+// SetLimits replaces the limits.
+func (p *Plan) SetLimits(l Limits) {
+	p.configuration.limit, p.endpoints.limit = l.Configuration, l.Endpoints
+}
+
 // SetView takes a new view of the members.
 func (p *Plan) SetView(v *member.View) {
 	p.members = configuration.Ranked(v, p.failureDomain)
--- a/io/transport/direct/direct.go
+++ b/io/transport/direct/direct.go
@@ -81,7 +81,7 @@
 
 // Process is a running balancer.
 type Process struct {
-	settings  *Settings
+	settings  *Settings // replaced under mu by Reload; names and addresses stay
 	adapters  Adapters
 	log       *slog.Logger
 	metrics   *operator.Metrics
@@ -219,7 +219,10 @@
 	if p.isDraining.Swap(true) {
 		return nil
 	}
-	p.log.Info("draining", "limit", p.settings.DrainLimit.String())
+	p.mu.Lock()
+	limit := p.settings.DrainLimit
+	p.mu.Unlock()
+	p.log.Info("draining", "limit", limit.String())
 	p.peers.leave()
 	began := p.adapters.Clock.Now()
 	for {
@@ -229,7 +232,7 @@
 		case <-p.adapters.Clock.After(tickInterval):
 		}
 		now := p.adapters.Clock.Now()
-		if now.Sub(began) > p.settings.DrainLimit-drainMargin {
+		if now.Sub(began) > limit-drainMargin {
 			break
 		}
 		if now.Sub(began) > leaveTime && now.Sub(p.socket.lastPacket()) > quietTime {
--- a/io/transport/direct/peers.go
+++ b/io/transport/direct/peers.go
@@ -55,9 +55,7 @@
 		ID: s.ID, FailureDomain: s.FailureDomain, Address: s.PeerAddress,
 		Incarnation: member.Incarnation(rand.Uint64() | 1), // 0 stands for no incarnation
 	}}
-	h.plan = spread.New(h.self.Incarnation, s.FailureDomain, spread.Limits{
-		Configuration: time.Duration(takeoverShare * float64(p.applyLimit())), Endpoints: endpointsLimit,
-	})
+	h.plan = spread.New(h.self.Incarnation, s.FailureDomain, p.limits(s.ApplyLimit))
 	if !s.PeerAddress.IsValid() {
 		return h, nil
 	}
--- a/io/transport/direct/reader.go
+++ b/io/transport/direct/reader.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"cornellb/core/coordination/discovery"
+	"cornellb/core/coordination/spread"
 	"cornellb/core/coordination/steering"
 	"cornellb/core/state/directory"
 	"cornellb/core/state/metric"
@@ -41,18 +42,30 @@
 
 // applyLimit returns the time in which a configuration must be in force.
 func (p *Process) applyLimit() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	if p.settings.ApplyLimit > 0 {
 		return p.settings.ApplyLimit
 	}
 	return defaultApplyLimit
 }
 
+// limits returns how old knowledge may be before this balancer reads the store itself.
+func (p *Process) limits(applyLimit time.Duration) spread.Limits {
+	if applyLimit <= 0 {
+		applyLimit = defaultApplyLimit
+	}
+	return spread.Limits{
+		Configuration: time.Duration(takeoverShare * float64(applyLimit)), Endpoints: endpointsLimit,
+	}
+}
+
 // readConfiguration reads the configuration at regular intervals, as long as this balancer is the reader or hears too
 // little of others. A watch alone is not enough: it can stay silent while changes are made.
 func (p *Process) readConfiguration() {
-	interval := time.Duration(configurationShare * float64(p.applyLimit()))
 	failures := 0
 	for {
+		interval := time.Duration(configurationShare * float64(p.applyLimit()))
 		isDue := func() bool { return p.peers.plan.ReadsConfiguration(p.adapters.Clock.Now()) }
 		isRetry := failures > 0 && !p.isComplete.Load()
 		if !isRetry && !p.configurationRequest.take() && !p.isDue(isDue) {
--- a/test/process/direct_test.go
+++ b/test/process/direct_test.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"strings"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -340,6 +341,37 @@
 	is.True(r.TimedOut*2 <= r.Lost*3)       // most of them do not wait for their deadline
 }
 
+// TestDirectReload guards against a faulty settings file that disturbs a running balancer, and against settings that are
+// never taken over. The file may change with a signal or without one.
+func TestDirectReload(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := startDirect(t)
+	b := f.balancers[1]
+	good, err := os.ReadFile(b.settings)
+	is.NoErr(err)
+	is.NoErr(os.WriteFile(b.settings, good[:len(good)/2], 0o600)) // half written
+	b.process.signal(syscall.SIGHUP)
+	b.awaitLine(t, "settings not reloaded")
+	is.Equal(f.status(b), f.version)
+	changed := strings.Replace(string(good), "grace_s: 6", "grace_s: 5", 1)
+	is.NoErr(os.WriteFile(b.settings, []byte(changed), 0o600))
+	b.awaitLine(t, `"changed":["drain_limit"]`) // without a signal
+	is.True(b.process.isRunning())
+}
+
+// awaitLine fails the test if the log of the balancer does not get a line with the text.
+func (b *directBalancer) awaitLine(t *testing.T, text string) {
+	t.Helper()
+	eventually(t, readyLimit, b.id+" logs "+text, func() error {
+		content, err := os.ReadFile(b.process.log)
+		if err == nil && !strings.Contains(string(content), text) {
+			err = errors.New("no such line")
+		}
+		return err
+	})
+}
+
 // TestDirectFewReaders guards against store calls that grow with the number of balancers.
 func TestDirectFewReaders(t *testing.T) {
 	t.Parallel()
