Add a fault soak of the direct return mode with real processes

Change: test/process/soak_test.go kills, pauses, restarts and reloads balancers, silences, delays, resets and refuses their way to the store through a loopback proxy or at the store itself, forgets its history, changes the configuration, replaces and silences endpoints, in series and overlapping, by a seed; clients use open flows all the while. No open flow of a living endpoint may be reset, nothing may arrive elsewhere or changed, no process may go back to an older version, and afterwards all balancers serve with the last version.

--- a/Makefile
+++ b/Makefile
@@ -1,10 +1,12 @@
-# Targets: build, test, lint, demo (KILL=1 kills a balancer during the run), soak (long random runs), measure (all
+# Targets: build, test, lint, demo (KILL=1 kills a balancer during the run), day (the
+# direct return mode against stand-ins), soak (long random runs), measure (all
 # benchmarks), capacity (slopes and page), generate (protobuf code).
 GO ?= go
 SOAK_CHECKS ?= 2000
 SOAK_SEED ?= $(shell date +%s)
+SOAK_SEEDS ?= 10
 
-.PHONY: build test lint demo soak measure capacity generate
+.PHONY: build test lint demo day soak measure capacity generate
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -29,6 +31,13 @@
 soak:
 	@echo "seed $(SOAK_SEED), $(SOAK_CHECKS) checks"
 	$(GO) test -count=1 -timeout=0 -run Random $(SOAK_PACKAGES) -rapid.checks=$(SOAK_CHECKS) -rapid.seed=$(SOAK_SEED)
+	$(GO) test -count=1 -timeout=0 -run 'Agree|Views|AnyOrder' ./core/coordination/discovery ./core/coordination/spread \
+		-rapid.checks=$(SOAK_CHECKS) -rapid.seed=$(SOAK_SEED)
+	$(GO) test -count=1 -timeout=0 -run DirectSoak ./test/process -soak.seeds=$(SOAK_SEEDS) -soak.first=$(SOAK_SEED)
+
+# Plays a day of the direct return mode against our own stand-ins: planned changes, losses and faults of the store.
+day:
+	$(GO) test -count=1 -v -run 'TestDirect' ./test/process | grep -E '^(---|    ---|ok|FAIL|    .*Requests:|    .*in force)'
 
 measure: build
 	$(GO) test -count=1 -run '^$$' -bench . -benchmem ./core/... ./io/...
--- a/standin/direct/client.go
+++ b/standin/direct/client.go
@@ -47,7 +47,7 @@
 	Unopened  int64 // flows that did not open in time
 	Refused   int64 // flows reset before they were open
 	Broken    int64 // open flows reset by a balancer, except for those of Lost
-	Lost      int64 // open flows of an endpoint that Expect names, reset by a balancer
+	Lost      int64 // open flows of endpoints that Expect names, reset by a balancer
 	Ended     int64 // open flows reset by their endpoint
 	TimedOut  int64 // requests without an answer until their deadline
 	Misrouted int64 // answers of another service
@@ -63,7 +63,7 @@
 	misses   []atomic.Int32
 	ports    atomic.Uint32
 	result   [11]atomic.Int64
-	lost     atomic.Uint32 // cookie of the endpoint whose flows may be reset; 0 without one
+	lost     sync.Map // cookies of endpoints whose flows may be reset
 
 	mu    sync.Mutex
 	flows map[uint16]chan packet
@@ -117,7 +117,7 @@
 }
 
 // Expect says that an endpoint is lost from now on: balancers may reset its flows.
-func (l *Load) Expect(cookie uint32) { l.lost.Store(cookie) }
+func (l *Load) Expect(cookie uint32) { l.lost.Store(cookie, true) }
 
 // Result returns what the clients have seen so far.
 func (l *Load) Result() Result {
--- a/standin/direct/flow.go
+++ b/standin/direct/flow.go
@@ -90,11 +90,12 @@
 		select {
 		case p := <-f.received:
 			switch {
-			case p.flags&flagFromBalancer != 0 && f.cookie == f.load.lost.Load():
-				r[lostFlows].Add(1)
-				return false
 			case p.flags&flagFromBalancer != 0:
-				r[broken].Add(1)
+				if _, isLost := f.load.lost.Load(f.cookie); isLost {
+					r[lostFlows].Add(1)
+				} else {
+					r[broken].Add(1)
+				}
 				return false
 			case p.flags&flagReset != 0:
 				r[ended].Add(1)
--- a/test/process/direct_test.go
+++ b/test/process/direct_test.go
@@ -17,6 +17,7 @@
 
 	"cornellb/core/state/directory"
 	"cornellb/standin/direct"
+	"cornellb/standin/proxy"
 )
 
 const (
@@ -57,6 +58,7 @@
 	ready                string // URL
 	ip                   netip.Addr
 	door                 *direct.Door
+	proxy                *proxy.Proxy // between the process and the door
 	process              *process
 }
 
@@ -101,6 +103,7 @@
 				b.process.printLog(f.t)
 			}
 		}
+		b.proxy.Close()
 		b.door.Close()
 	}
 	for _, e := range f.endpoints {
@@ -148,6 +151,9 @@
 		f.t.Fatal(err)
 	}
 	b.door = door
+	if b.proxy, err = proxy.Listen("127.0.0.1:0", door.Address); err != nil {
+		f.t.Fatal(err)
+	}
 	f.balancers = append(f.balancers, b)
 	text := fmt.Sprintf(`node_name: %s
 zone: %s
@@ -157,7 +163,7 @@
 seeds: ["%[8]s:%[6]d"]
 bounds: {config_apply_ms: %[9]d, grace_s: 6, max_flow_s: 60}
 platform: {address: "%[10]s"}
-`, id, domain, ip, f.port, f.port+1, f.port+2, f.port+3, f.balancers[0].ip, applyLimit.Milliseconds(), door.Address)
+`, id, domain, ip, f.port, f.port+1, f.port+2, f.port+3, f.balancers[0].ip, applyLimit.Milliseconds(), b.proxy.Address)
 	if err := os.WriteFile(b.settings, []byte(text), 0o600); err != nil {
 		f.t.Fatal(err)
 	}
