Compare failure domains as a whole before flows leave their own

Endpoints that had just come to another failure domain looked idle to the balancers elsewhere, which hear few reports from there, and all of them sent their flows.

Change: the mean load of the domains decides whether flows leave, and the better one of two random endpoints gets them.

--- a/core/coordination/steering/choice.go
+++ b/core/coordination/steering/choice.go
@@ -1,6 +1,9 @@
 package steering
 
-import "time"
+import (
+	"math/rand/v2"
+	"time"
+)
 
 // Endpoints of other failure domains get a new flow if the load of those in the own one is more than FarFactor times
 // theirs and FarMargin flows for each slot above. The zones of today's deployments differ by up to 1.4 in the load of
@@ -21,57 +24,100 @@
 const suspectPenalty = 1e6
 
 // choose returns the server for a new flow of a service, or nil. The excluded server is taken only if there is no other.
-// Of the best server in the own failure domain and the best one elsewhere, the latter needs a clear advantage.
+// The own failure domain is preferred, unless it is clearly more loaded as a whole than another one.
 func (f *Forwarder) choose(now time.Time, service string, excluded *server) *server {
-	var near, far *server
-	var lowestNear, lowestFar float64
+	own := f.domainOf(f.config.FailureDomain)
+	for _, d := range f.domains {
+		d.candidates = candidates{}
+	}
+	others := own.reporters
 	for _, e := range f.snapshot.EndpointsOf(service) {
 		v := f.servers[e.ID]
 		if v == nil || !v.hasCookie {
 			continue
 		}
-		cost := f.cost(now, v, excluded)
-		switch {
-		case e.FailureDomain == f.config.FailureDomain:
-			if near == nil || cost < lowestNear {
-				near, lowestNear = v, cost
-			}
-		case far == nil || cost < lowestFar:
-			far, lowestFar = v, cost
+		cost := v.load(now, others) + tieNoise*f.random.Float64()/float64(max(e.Slots, 1))
+		if !v.isTrusted(now) {
+			cost += suspectPenalty * float64(1+v.failures)
+		}
+		if v == excluded {
+			cost += suspectPenalty * suspectPenalty
 		}
+		f.domainOf(e.FailureDomain).candidates.add(v, cost, v.load(now, 0), f.random)
 	}
+	far := f.leastLoaded(now, own)
 	switch {
-	case near == nil:
-		return far
-	case far == nil || lowestFar >= suspectPenalty && lowestFar >= lowestNear:
-		return near
-	case lowestNear >= suspectPenalty:
-		return far
+	case far == nil || own.best != nil && own.lowest < suspectPenalty && !isOverloaded(own, far):
+		return own.best
+	case own.best != nil && far.lowest >= own.lowest:
+		return own.best // neither has an endpoint that is trusted
 	}
-	// Flows placed lately count against the far one alone, so that a wave of new flows does not look like overload here.
-	if near.load(now, 0) > FarFactor*lowestFar+FarMargin {
-		return far
-	}
-	return near
+	return far.pick()
 }
 
-// cost ranks the servers of one failure domain.
-func (f *Forwarder) cost(now time.Time, v, excluded *server) float64 {
-	others := f.domainOf(f.config.FailureDomain).reporters
-	cost := v.load(now, others) + tieNoise*f.random.Float64()/float64(max(v.endpoint.Slots, 1))
-	isTrusted := v.isTrusted(now)
-	if name := v.endpoint.FailureDomain; name != f.config.FailureDomain {
-		d := f.domainOf(name)
+// isOverloaded reports whether a failure domain is clearly more loaded than another one.
+func isOverloaded(own, far *domain) bool { return own.mean() > FarFactor*far.mean()+FarMargin }
+
+// leastLoaded returns the failure domain other than the own one with the lowest load, or nil if there is none with
+// endpoints of the service. Domains that do not answer or from which nobody reports come last.
+func (f *Forwarder) leastLoaded(now time.Time, own *domain) *domain {
+	var best *domain
+	lowest := 0.0
+	for _, d := range f.domains {
+		if d == own || d.best == nil {
+			continue
+		}
 		if d.reporters == 0 {
-			cost += unknownLoad
+			d.sum += unknownLoad * float64(d.count)
+		}
+		if !d.isTrusted(now) {
+			d.sum += suspectPenalty * float64(d.count)
+			d.lowest += suspectPenalty
+		}
+		if cost := d.mean() + d.lowest; best == nil || cost < lowest {
+			best, lowest = d, cost
 		}
-		isTrusted = isTrusted && d.isTrusted(now)
 	}
-	if !isTrusted {
-		cost += suspectPenalty * float64(1+v.failures)
+	return best
+}
+
+// candidates are the endpoints of a service in one failure domain, during one choice.
+type candidates struct {
+	best   *server
+	lowest float64 // cost of best
+	sum    float64 // of the loads
+	count  int
+	two    [2]*server // at random
+	costs  [2]float64
+}
+
+func (c *candidates) add(v *server, cost, load float64, random *rand.Rand) {
+	c.count++
+	c.sum += load
+	if c.best == nil || cost < c.lowest {
+		c.best, c.lowest = v, cost
+	}
+	// Reservoir sampling: each endpoint is among the two with the same probability.
+	i := c.count - 1
+	if i >= len(c.two) {
+		i = random.IntN(c.count)
+	}
+	if i < len(c.two) {
+		c.two[i], c.costs[i] = v, cost
+	}
+}
+
+func (c *candidates) mean() float64 { return c.sum / float64(max(c.count, 1)) }
+
+// pick returns the better one of two random endpoints: balancers of other failure domains know the loads here late, and
+// would all take the best one.
+func (c *candidates) pick() *server {
+	v, cost := c.two[0], c.costs[0]
+	if c.two[1] != nil && c.costs[1] < cost {
+		v, cost = c.two[1], c.costs[1]
 	}
-	if v == excluded {
-		cost += suspectPenalty * suspectPenalty
+	if cost >= suspectPenalty {
+		return c.best
 	}
-	return cost
+	return v
 }
--- a/core/coordination/steering/domain.go
+++ b/core/coordination/steering/domain.go
@@ -14,6 +14,7 @@
 // domain is what a balancer knows of a failure domain.
 type domain struct {
 	suspicion
+	candidates
 	reporters int // balancers there whose reports are in force
 }
 
--- a/core/coordination/steering/spill_test.go
+++ b/core/coordination/steering/spill_test.go
@@ -117,3 +117,20 @@
 		w.pass(20 * time.Millisecond)
 	}
 }
+
+// TestReleaseInAnotherDomain answers the pattern of a release on a large fleet: a new endpoint in another failure domain
+// looks idle for seconds, until enough balancers there report. If every balancer elsewhere sent its flows to it, the
+// endpoint would be overloaded while it is still cold. Domains are compared as a whole.
+func TestReleaseInAnotherDomain(t *testing.T) {
+	is := is.New(t)
+	w := spill()
+	w.HearReport(w.now, &steering.Report{Sender: 7, Loads: []steering.Load{
+		{Cookie: directory.Cookie("i-1", 0), Flows: 75}, {Cookie: directory.Cookie("i-2", 0), Flows: 75},
+	}}, near)
+	w.reportFar(75)
+	w.endpoints = append(w.endpoints, endpoint("i-9", "attiki-2"))
+	w.publish()
+	for range 20 {
+		is.Equal(w.established(t).endpoint.FailureDomain, "attiki-1")
+	}
+}
--- a/io/transport/direct/direct.go
+++ b/io/transport/direct/direct.go
@@ -76,7 +76,7 @@
 	Store Store
 	Codec Codec
 	Clock Clock
-	Log   *AsyncWriter // behind the logger; its count of dropped lines is exported
+	Log   *AsyncWriter // behind the logger; its count of dropped lines is exported. May be nil
 }
 
 // Process is a running balancer.
--- a/io/transport/direct/gauges.go
+++ b/io/transport/direct/gauges.go
@@ -28,7 +28,9 @@
 			}
 			return 0
 		},
-		metric.LinesLeftOut: func(time.Time) int64 { return p.adapters.Log.Dropped() },
+	}
+	if log := p.adapters.Log; log != nil {
+		gauges[metric.LinesLeftOut] = func(time.Time) int64 { return log.Dropped() }
 	}
 	for name, read := range gauges {
 		err := p.metrics.Gauge(name, func() int64 {
