--- /dev/null
+++ b/io/protocol/wire/peer/directory_test.go
@@ -0,0 +1,133 @@
+package peer
+
+import (
+	"errors"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
+
+	"cornellb/core/coordination/discovery"
+	"cornellb/core/coordination/spread"
+	"cornellb/core/coordination/steering"
+	"cornellb/core/state/directory"
+)
+
+var directoryTime = time.Unix(1_800_000_000, 0)
+
+func sampleEndpoint() directory.Endpoint {
+	return directory.Endpoint{
+		ID: "i-7f3a91c2", Number: 0x7f3a91c2, Service: "feed", FailureDomain: "attiki-1", Slots: 3, IsLeaving: true,
+		Address: netip.MustParseAddrPort("10.0.0.9:8080"), StartedAt: 1_800_000_000_123,
+		WarmAt: directoryTime.Add(1500 * time.Millisecond),
+	}
+}
+
+func sampleAnnouncement() *spread.Announcement {
+	e := sampleEndpoint()
+	return &spread.Announcement{
+		Reader: 7, Sequence: 9, Version: 12, VersionAge: 40 * time.Millisecond, Revision: 99,
+		RevisionAge: 2 * time.Second, Base: 90, LapsedFor: time.Second,
+		Changes: []discovery.Change{{ID: e.ID, Endpoint: &e, Revision: 95}, {ID: "i-2", Revision: 99}},
+	}
+}
+
+// TestAnnouncementRoundTrip guards against fields that do not arrive.
+func TestAnnouncementRoundTrip(t *testing.T) {
+	is := is.New(t)
+	want := sampleAnnouncement()
+	got, err := DecodeAnnouncement(AppendAnnouncement(nil, want, directoryTime), directoryTime)
+	is.NoErr(err)
+	is.Equal(got, want)
+	is.True(len(AppendAnnouncement(nil, want, directoryTime)) < 200)
+}
+
+// TestDirectoryRoundTrip guards against fields that do not arrive.
+func TestDirectoryRoundTrip(t *testing.T) {
+	is := is.New(t)
+	want := &Directory{
+		Configuration: &directory.Configuration{Version: 12, IdleTimeout: 15 * time.Second, Routes: []directory.Route{{
+			Name: "r1", Address: netip.MustParseAddrPort("198.18.0.1:443"),
+			Targets: []directory.Target{{Service: "feed", Weight: 90}, {Service: "images", Weight: 10}},
+		}}},
+		Revision: 99, Endpoints: []directory.Endpoint{sampleEndpoint()},
+	}
+	got, err := NewDirectoryReply(want, directoryTime).Core(directoryTime)
+	is.NoErr(err)
+	is.Equal(got, want)
+}
+
+// TestLoadRoundTrip guards against fields that do not arrive.
+func TestLoadRoundTrip(t *testing.T) {
+	is := is.New(t)
+	want := &steering.Report{
+		Sender: 7, IsPartial: true, Loads: []steering.Load{{Cookie: 1, Flows: 5}},
+		Silences: []steering.Silence{{Cookie: 2, Flows: 3, For: 600 * time.Millisecond}},
+	}
+	got, err := DecodeLoad(AppendLoad(nil, want))
+	is.NoErr(err)
+	is.Equal(got, want)
+}
+
+// TestBadDirectoryMessages guards against messages of a faulty balancer that change what this one knows.
+func TestBadDirectoryMessages(t *testing.T) {
+	endpoint := func(change func(*Endpoint)) *Announcement {
+		e := sampleEndpoint()
+		x := newEndpoint(&e, directoryTime)
+		change(x)
+		return &Announcement{Reader: 7, Sequence: 1, Changes: []*EndpointChange{{Id: "i-1", Revision: 3, Endpoint: x}}}
+	}
+	tests := map[string]*Announcement{
+		"no reader":      {Sequence: 1},
+		"no sequence":    {Reader: 7},
+		"no id":          {Reader: 7, Sequence: 1, Changes: []*EndpointChange{{Revision: 3}}},
+		"many changes":   {Reader: 7, Sequence: 1, Changes: make([]*EndpointChange, maxChanges+1)},
+		"no number":      endpoint(func(x *Endpoint) { x.Number = 0 }),
+		"no slots":       endpoint(func(x *Endpoint) { x.Slots = 0 }),
+		"no service":     endpoint(func(x *Endpoint) { x.Service = "" }),
+		"short address":  endpoint(func(x *Endpoint) { x.Address = []byte{1, 2, 3} }),
+		"no port":        endpoint(func(x *Endpoint) { x.Address = []byte{10, 0, 0, 9, 0, 0} }),
+		"no destination": endpoint(func(x *Endpoint) { x.Address = nil }),
+	}
+	for name, x := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			for i := range x.Changes {
+				if x.Changes[i] == nil {
+					x.Changes[i] = &EndpointChange{Id: "i-1"}
+				}
+			}
+			b, err := proto.Marshal(x)
+			is.NoErr(err)
+			_, err = DecodeAnnouncement(b, directoryTime)
+			var faulty *DecodeError
+			is.True(errors.As(err, &faulty))
+		})
+	}
+	is := is.New(t)
+	for _, c := range []*Configuration{
+		{},
+		{Version: 1, Routes: []*Route{{Name: "r"}}},
+		{Version: 1, Routes: []*Route{{Name: "r", Address: []byte{10, 0, 0, 9, 1, 0}}}},
+		{Version: 1, Routes: []*Route{{Name: "r", Address: []byte{10, 0, 0, 9, 1, 0}, Targets: []*Target{{Service: "a", Weight: -1}}}}},
+	} {
+		_, err := (&DirectoryReply{Configuration: c}).Core(directoryTime)
+		is.True(err != nil)
+	}
+}
+
+// FuzzDirectoryMessages guards against datagrams that crash a balancer.
+func FuzzDirectoryMessages(f *testing.F) {
+	f.Add(AppendAnnouncement(nil, sampleAnnouncement(), directoryTime))
+	f.Add(AppendLoad(nil, &steering.Report{Sender: 7, Loads: []steering.Load{{Cookie: 1, Flows: 5}}}))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		if a, err := DecodeAnnouncement(b, directoryTime); err == nil && (a.Reader == 0 || len(a.Changes) > maxChanges) {
+			t.Fatalf("unusable announcement: %+v", a)
+		}
+		if r, err := DecodeLoad(b); err == nil && (r.Sender == 0 || len(r.Loads) > maxReported) {
+			t.Fatalf("unusable report: %+v", r)
+		}
+	})
+}
