Count the control bytes of the direct return mode as they are sent

Cause: the metric of control bytes counted announcements at an assumed size, and gossip, reports and fetches not at all. A message could reach the process before the field with its links was set.

Change: both modes copy the counts of the links by one function; the field is set before the links open.

Measured: host, peer and process tests pass, with the race detector.

--- a/io/transport/direct/direct.go
+++ b/io/transport/direct/direct.go
@@ -137,7 +137,7 @@
 	}
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	p.forwarder = steering.New(steering.Config{FailureDomain: p.settings.FailureDomain, FlowAge: p.settings.FlowAge}, p.metrics, random)
-	if p.peers, err = joinPeers(p); err != nil {
+	if err = joinPeers(p); err != nil {
 		return err
 	}
 	if p.socket, err = listenPackets(p); err != nil {
@@ -201,6 +201,7 @@
 		}
 		p.update(func(now time.Time) { p.forwarder.Tick(now) })
 		p.socket.sendResets()
+		p.peers.count()
 		p.tellBeliefs()
 	}
 }
--- a/io/transport/direct/peers.go
+++ b/io/transport/direct/peers.go
@@ -43,28 +43,30 @@
 	view      *member.View   // the rest of the group is under Process.mu too
 	members   map[string]int // reachable ones by failure domain
 	reachable int
+	counted   peer.Counters // as last copied into the metrics, by the ticking goroutine alone
 	self      member.Host
 	urgent    chan struct{} // asks for a report at once
 	fetching  chan struct{} // holds a token while a directory is fetched
 }
 
 // joinPeers opens the links to other balancers. The process works without any of them.
-func joinPeers(p *Process) (*peers, error) {
+func joinPeers(p *Process) error {
 	s := p.settings
 	h := &peers{process: p, fetching: make(chan struct{}, 1), urgent: make(chan struct{}, 1), self: member.Host{
 		ID: s.ID, FailureDomain: s.FailureDomain, Address: s.PeerAddress,
 		Incarnation: member.Incarnation(rand.Uint64() | 1), // 0 stands for no incarnation
 	}}
 	h.plan = spread.New(h.self.Incarnation, s.FailureDomain, p.limits(s.ApplyLimit))
+	p.peers = h // before messages arrive
 	if !s.PeerAddress.IsValid() {
-		return h, nil
+		return nil
 	}
 	h.runner = peer.NewRunner(p.adapters.Clock, h)
 	var err error
 	h.transport, err = peer.Listen(peer.Settings{Listen: s.PeerAddress, CallTimeout: fetchTimeout},
 		peer.Handlers{Gossip: h.runner, Members: h.runner, Directory: h})
 	if err != nil {
-		return nil, errors.Wrap(err, "listen for balancers")
+		return errors.Wrap(err, "listen for balancers")
 	}
 	h.runner.Start(h.transport, membership.Config{
 		ID: s.ID, FailureDomain: s.FailureDomain, Address: s.PeerAddress, Incarnation: h.self.Incarnation,
@@ -72,7 +74,7 @@
 	}, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	h.runner.SetHints(s.Peers, nil)
 	p.work.Go(h.report)
-	return h, nil
+	return nil
 }
 
 func (h *peers) close() {
@@ -145,14 +147,21 @@
 
 func (h *peers) send(to []member.Host, a *spread.Announcement) {
 	for _, m := range to {
-		if h.transport.SendAnnouncement(m.Address, a) {
-			h.process.metrics.Count(metric.ControlSent, "announcement", announcementBytes)
-		}
+		h.transport.SendAnnouncement(m.Address, a) // a drop is counted, and the next one comes soon
 	}
 }
 
-// announcementBytes is the usual size of an announcement, for the metric alone.
-const announcementBytes = 60
+// count copies what the links have sent since the last call into the metrics.
+func (h *peers) count() {
+	if h.transport == nil {
+		return
+	}
+	now := h.transport.Counters()
+	now.ControlSince(h.counted, func(kind string, bytes uint64) {
+		h.process.metrics.Count(metric.ControlSent, kind, int64(bytes))
+	})
+	h.counted = now
+}
 
 // HandleAnnouncement implements peer.DirectoryHandler.
 func (h *peers) HandleAnnouncement(from netip.AddrPort, a *spread.Announcement) {
--- a/io/transport/host/transports.go
+++ b/io/transport/host/transports.go
@@ -24,11 +24,7 @@
 		return
 	}
 	p, c := h.peer.Counters(), h.caller.Counters()
-	for k := range peer.KindCount {
-		if k != peer.KindForward {
-			h.add(metric.ControlSent, k.String(), p.SentBytes[k]-h.counted.peer.SentBytes[k])
-		}
-	}
+	p.ControlSince(h.counted.peer, func(kind string, bytes uint64) { h.add(metric.ControlSent, kind, bytes) })
 	for label, n := range map[string]uint64{
 		"peer_socket":     p.DroppedSocketFull + p.DroppedSendError,
 		"peer_datagram":   p.DroppedType + p.DroppedGossip,
--- a/io/transport/peer/counters.go
+++ b/io/transport/peer/counters.go
@@ -44,6 +44,15 @@
 	CallsFailed       uint64
 }
 
+// ControlSince calls add with the bytes that each use of the links but forwarding has sent since earlier counters.
+func (c Counters) ControlSince(earlier Counters, add func(kind string, bytes uint64)) {
+	for k := range KindCount {
+		if k != KindForward {
+			add(k.String(), c.SentBytes[k]-earlier.SentBytes[k])
+		}
+	}
+}
+
 type counters struct {
 	sent, received                                    [KindCount]atomic.Uint64
 	socketFull, sendErr, badType, badGossip, readErr  atomic.Uint64
