Reset flows only on what a balancer has seen itself

Change: the evidence of others no longer counts for resets, and more other endpoints must have answered since than are silent; reports still make an endpoint suspect for new flows.

--- a/core/coordination/steering/dead.go
+++ b/core/coordination/steering/dead.go
@@ -3,7 +3,7 @@
 import "time"
 
 const (
-	// deadFlows is the number of flows that must have repeated data to an endpoint in vain, over all balancers. One or two may have lost
+	// deadFlows is the number of flows that must have repeated data to an endpoint in vain. One or two may have lost
 	// packets: at a loss of 0.2 % on the way and back, three at a time are one in 10^8.
 	deadFlows = 3
 	// deadTime is how long an endpoint must have been silent since the first of these data was sent. Work takes up to
@@ -12,13 +12,9 @@
 	// othersTime is the time in which another endpoint must have shown a sign of life, well after those data were sent.
 	// Otherwise this balancer may be the one that is cut off.
 	othersTime = 500 * time.Millisecond
-	// silentFor is how long evidence counts. Together with heardAge it stays below the 4 s after which a path that has healed
-	// must be taken for a good one again.
+	// silentFor is how long evidence counts. It stays below the 4 s after which a path that has healed must be taken for a
+	// good one again.
 	silentFor = 1500 * time.Millisecond
-	// heardAge is how long the evidence of another balancer counts. It is repeated each second.
-	heardAge = 1200 * time.Millisecond
-	// maxHeard bounds the balancers whose evidence against an endpoint is kept.
-	maxHeard = 16
 	// maxResets bounds the resets that wait to be sent.
 	maxResets = 4096
 )
@@ -46,30 +42,29 @@
 }
 
 // isDead reports whether it is certain enough that an endpoint no longer answers to reset its flows. A client that is
-// reset can come back on another endpoint before its deadline. The evidence of this balancer and of others counts
-// together, as long as the endpoint has shown no sign of life here since. If the entry of the endpoint has lapsed too, one
-// flow is evidence enough.
+// reset can come back on another endpoint before its deadline. Only what this balancer has seen counts: when links are
+// full, several balancers lose packets of a few flows each. If the entry of the endpoint has lapsed, one flow is enough.
 func (f *Forwarder) isDead(now time.Time, v *server) bool {
-	flows, since := 0, now
-	if f.isSilent(now, v) {
-		flows, since = v.silentFlows, v.silentSince
+	if !f.isSilent(now, v) || now.Sub(v.silentSince) < deadTime {
+		return false
 	}
-	for sender, h := range v.heard {
+	return v.hasLapsed() || v.silentFlows >= deadFlows && f.isAlone(now, v)
+}
+
+// isAlone reports whether more other endpoints have shown a sign of life since an endpoint fell silent than are silent. A
+// balancer whose own link or processor is overloaded loses packets to many endpoints.
+func (f *Forwarder) isAlone(now time.Time, v *server) bool {
+	living, silent := 0, 0
+	for _, u := range f.servers {
 		switch {
-		case now.Sub(h.at) > heardAge:
-			delete(v.heard, sender)
-		case v.progressAt.Before(h.since):
-			flows += h.flows
-			if h.since.Before(since) {
-				since = h.since
-			}
+		case u == v:
+		case u.progressAt.After(v.silentSince.Add(answerTime)):
+			living++
+		case u.silentFlows > 0 && now.Sub(u.silentAt) <= silentFor:
+			silent++
 		}
 	}
-	needed := deadFlows
-	if v.hasLapsed() {
-		needed = 1
-	}
-	return flows >= needed && now.Sub(since) >= deadTime
+	return living > silent
 }
 
 // isSilent reports whether this balancer has evidence against an endpoint, and is not cut off itself. The evidence must be
--- a/core/coordination/steering/report.go
+++ b/core/coordination/steering/report.go
@@ -50,12 +50,6 @@
 	scale         float64
 }
 
-// heardSilence is another balancer's evidence against an endpoint.
-type heardSilence struct {
-	flows     int
-	since, at time.Time
-}
-
 // Report returns the present loads of this balancer, the largest first if there are too many, and its evidence against
 // endpoints. It never repeats what others reported, because opinions that rest on each other would never end.
 func (f *Forwarder) Report(now time.Time) *Report {
@@ -104,7 +98,7 @@
 	}
 	for _, s := range r.Silences {
 		if v := f.byCookie[s.Cookie]; v != nil {
-			f.hearSilence(now, v, r.Sender, s)
+			f.hearSilence(now, v)
 		}
 	}
 }
@@ -123,13 +117,8 @@
 	f.reports[r.Sender] = heard
 }
 
-func (f *Forwarder) hearSilence(now time.Time, v *server, sender member.Incarnation, s Silence) {
-	if v.heard == nil {
-		v.heard = make(map[member.Incarnation]heardSilence)
-	}
-	if _, isKnown := v.heard[sender]; isKnown || len(v.heard) < maxHeard {
-		v.heard[sender] = heardSilence{flows: s.Flows, since: now.Add(-s.For), at: now}
-	}
+// hearSilence makes an endpoint suspect that does not answer another balancer.
+func (f *Forwarder) hearSilence(now time.Time, v *server) {
 	if v.progressAt.After(now.Add(-hearsay)) {
 		return
 	}
--- a/core/coordination/steering/server.go
+++ b/core/coordination/steering/server.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"cornellb/core/state/directory"
-	"cornellb/core/state/member"
 )
 
 const (
@@ -30,16 +29,14 @@
 	waiting    int     // flows with data that is not answered yet
 	progressAt time.Time
 	suspicion
-	silentFlows int                                 // flows that have repeated data in vain since the last progress
-	silentSince time.Time                           // when the first of these data was sent
-	silentAt    time.Time                           // when such data were last repeated
-	heard       map[member.Incarnation]heardSilence // evidence of other balancers
+	silentFlows int       // flows that have repeated data in vain since the last progress
+	silentSince time.Time // when the first of these data was sent
+	silentAt    time.Time // when such data were last repeated
 }
 
 // restart drops what was learned about the former incarnation. Its flows are forgotten as they end.
 func (v *server) restart() {
 	v.progressAt, v.suspicion, v.silentFlows = time.Time{}, suspicion{}, 0
-	clear(v.heard)
 }
 
 // fill returns the flows for each slot.
