--- a/core/coordination/steering/steering.go
+++ b/core/coordination/steering/steering.go
@@ -69,7 +69,7 @@
 // The reasons.
 const (
 	ReasonNone          Reason = ""
-	ReasonNotReady      Reason = "not_ready"      // no configuration yet
+	ReasonNotReady      Reason = "not_ready"      // no configuration or no list of endpoints yet
 	ReasonNoRoute       Reason = "no_route"       // no version known here has a route
 	ReasonRouteRemoved  Reason = "route_removed"  // an earlier version had a route
 	ReasonNoEndpoint    Reason = "no_endpoint"    // no endpoint of the service may get new flows
@@ -181,7 +181,7 @@
 	defer f.mu.Unlock()
 	var d Decision
 	switch {
-	case f.snapshot == nil || f.snapshot.Configuration.Version == 0:
+	case f.snapshot == nil, p.IsOpening && !f.isConfigured():
 		d = Decision{Reason: ReasonNotReady}
 	case p.IsOpening:
 		d = f.open(now, p)
@@ -264,13 +264,17 @@
 	return r.Targets[len(r.Targets)-1].Service
 }
 
-// pass decides on a later packet of a flow.
+// isConfigured reports whether there is a configuration.
+func (f *Forwarder) isConfigured() bool { return f.snapshot.Configuration.Version != 0 }
+
+// pass decides on a later packet of a flow. Its cookie is enough: a balancer that has just started forwards the flows of
+// others before it has received the configuration, which is the larger part of what it reads.
 func (f *Forwarder) pass(now time.Time, p *Packet) Decision {
 	e := f.snapshot.ByCookie(p.Cookie, p.Flow.Service)
 	if e == nil {
 		return Decision{Reason: ReasonUnknownCookie}
 	}
-	if f.snapshot.RouteOf(p.Flow.Service) == nil {
+	if f.isConfigured() && f.snapshot.RouteOf(p.Flow.Service) == nil {
 		if f.snapshot.WasRouted(p.Flow.Service) {
 			f.forget(p.Flow)
 			return Decision{Verdict: Reset, Reason: ReasonRouteRemoved}
@@ -305,7 +309,7 @@
 
 // knowsHistory reports whether this process has seen every version that an open flow may come from.
 func (f *Forwarder) knowsHistory(now time.Time) bool {
-	return f.config.FlowAge > 0 && now.Sub(f.started) > f.config.FlowAge
+	return f.config.FlowAge > 0 && !f.started.IsZero() && now.Sub(f.started) > f.config.FlowAge
 }
 
 // Flows returns the number of flows that are tracked.
--- a/core/coordination/steering/steering_test.go
+++ b/core/coordination/steering/steering_test.go
@@ -209,6 +209,22 @@
 
 // TestUnknownCookie guards against a reset of a flow whose endpoint another balancer knows already and this one does
 // not: the endpoint is alive, and the client repeats its data.
+// After a loss of all balancers the configuration arrives last. Flows that clients keep open must not wait for it.
+func TestFlowsPassBeforeConfiguration(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(endpoint("i-1", "attiki-1"), endpoint("i-2", "attiki-1"))
+	f := w.established(t)
+
+	w.Forwarder = steering.New(testConfig, recorder{}, rand.New(rand.NewPCG(1, 2)))
+	is.Equal(w.request(f).Reason, steering.ReasonNotReady) // no endpoint is known
+	w.SetSnapshot(w.now, directory.NewSnapshot(&directory.Configuration{}, nil, w.endpoints))
+	w.pass(2 * flowAge) // a process without a configuration has no history to judge flows by
+	d := w.request(f)
+	is.Equal(d.Verdict, steering.Forward)
+	is.Equal(d.Endpoint.ID, f.endpoint.ID)
+	is.Equal(w.repeat(&flow{key: f.key}).Reason, steering.ReasonNotReady) // new flows need the routes
+}
+
 func TestUnknownCookie(t *testing.T) {
 	is := is.New(t)
 	w := newWorld(endpoint("i-1", "attiki-1"))
