--- a/io/transport/platform/client.go
+++ b/io/transport/platform/client.go
@@ -12,7 +12,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -20,11 +19,16 @@
 	"strings"
 	"time"
 
+	"github.com/go-json-experiment/json"
+	"github.com/go-json-experiment/json/jsontext"
 	"github.com/pkg/errors"
 
 	"cornellb/io/protocol/platform"
 )
 
+// ReplyFormat is how replies are read. Objects of other writers may hold what the newer rules of JSON forbid.
+var ReplyFormat = json.JoinOptions(jsontext.AllowDuplicateNames(true), jsontext.AllowInvalidUTF8(true))
+
 // Clock tells the time and waits.
 type Clock interface {
 	Now() time.Time
@@ -181,27 +185,27 @@
 		return 0, &UnavailableError{Operation: k.Operation, Err: err}
 	}
 	defer response.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(response.Body, replyLimit))
-	if err != nil {
-		return 0, &UnavailableError{Operation: k.Operation, Err: err}
-	}
-	return response.StatusCode, k.interpret(response, body)
+	body := io.LimitReader(response.Body, replyLimit)
+	err = k.interpret(response, body)
+	_, _ = io.Copy(io.Discard, body) // a connection with unread bytes is not used again; an error ends it as well
+	return response.StatusCode, err
 }
 
-func (k Call) interpret(response *http.Response, body []byte) error {
+// interpret decodes a reply while it arrives: on a slow link that hides most of the time that decoding takes.
+func (k Call) interpret(response *http.Response, body io.Reader) error {
 	switch response.StatusCode {
 	case http.StatusNoContent:
 		return nil
 	case http.StatusOK:
-		if err := json.Unmarshal(body, k.Reply); err != nil {
-			return &UnavailableError{Operation: k.Operation, Err: errors.Wrap(err, "malformed reply")}
+		if err := json.UnmarshalRead(body, k.Reply, ReplyFormat); err != nil {
+			return &UnavailableError{Operation: k.Operation, Err: errors.Wrap(err, "read reply")}
 		}
 		return nil
 	case http.StatusNotFound:
 		return &NotFoundError{Kind: k.Kind, Name: k.Name}
 	}
 	var reply platform.ErrorReply
-	if err := json.Unmarshal(body, &reply); err != nil {
+	if err := json.UnmarshalRead(body, &reply, ReplyFormat); err != nil {
 		reply.Message = http.StatusText(response.StatusCode)
 	}
 	switch {
