--- a/io/protocol/wire/peer/directory.go
+++ b/io/protocol/wire/peer/directory.go
@@ -213,7 +213,9 @@
 	return appendMessage(dst, x)
 }
 
-func tenths(requests float64) uint32 { return uint32(math.Round(10 * min(max(requests, 0), maxReportedRequests))) }
+func tenths(requests float64) uint32 {
+	return uint32(math.Round(10 * min(max(requests, 0), maxReportedRequests)))
+}
 
 func requests(tenths uint32) float64 { return min(float64(tenths)/10, maxReportedRequests) }
 
