Suspect endpoints that refuse opening packets

Cause: the host of a crashed endpoint answers opening packets with resets to the client, which the balancer does not see. Change: an opening packet of which nothing follows within 350 ms, neither a copy nor the client's reply, was refused. Without a sign of life since, the endpoint is suspect, and the other balancers of the failure domain hear of it.

--- a/core/coordination/steering/dead_test.go
+++ b/core/coordination/steering/dead_test.go
@@ -249,3 +249,62 @@
 	cut.stall(4, false)
 	is.Equal(len(cut.ReportSilences(cut.now).Silences), 0) // its own links may be broken
 }
+
+// TestRefusedFlows answers the pattern of endpoints whose process has crashed: their hosts answer opening packets with
+// resets, which the balancer does not see, and clients come back at once. An endpoint without flows looks least loaded.
+func TestRefusedFlows(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(endpoint("i-1", "attiki-1"), endpoint("i-2", "attiki-1"), endpoint("i-3", "attiki-2"))
+	refused := map[string]bool{"i-1": true}
+	lost := 0
+	open := func(n int) {
+		for range n {
+			f, d := w.open(feed)
+			is.Equal(d.Verdict, steering.Forward)
+			w.pass(5 * time.Millisecond)
+			if refused[d.Endpoint.ID] {
+				lost++
+			} else {
+				w.confirm(f)
+			}
+		}
+	}
+	open(8)
+	is.True(lost >= 2)
+	w.pass(400 * time.Millisecond)
+	is.Equal(w.Report(w.now).Silences, []uint32{directory.Cookie("i-1", 0)}) // others need not find out themselves
+	lost = 0
+	open(20)
+	is.Equal(lost, 0)
+
+	refused["i-2"] = true // all of the failure domain
+	open(8)
+	w.pass(400 * time.Millisecond)
+	lost = 0
+	for range 10 {
+		_, d := w.open(feed)
+		is.Equal(d.Endpoint.ID, "i-3")
+	}
+}
+
+// TestLostReplyIsNoRefusal guards against blaming an endpoint that serves others, or whose client has sent a copy.
+func TestLostReplyIsNoRefusal(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(endpoint("i-1", "attiki-1"))
+	f := w.established(t)
+	w.open(feed) // its later packets go through another balancer
+	w.pass(100 * time.Millisecond)
+	w.request(f)
+	w.answer(f)
+	w.pass(400 * time.Millisecond)
+	is.Equal(len(w.ReportSilences(w.now).Silences), 0)
+	is.Equal(w.Suspects(w.now), 0)
+
+	g, _ := w.open(feed)
+	w.pass(200 * time.Millisecond)
+	w.repeat(g)
+	w.pass(20 * time.Millisecond)
+	w.confirm(g)
+	w.pass(400 * time.Millisecond)
+	is.Equal(w.Suspects(w.now), 0)
+}
--- a/core/coordination/steering/flow.go
+++ b/core/coordination/steering/flow.go
@@ -19,6 +19,9 @@
 	// answerTime is the time in which an endpoint that lives answers an opening packet. Clients repeat the packet after
 	// 200 ms; the longest way between failure domains takes some 10 ms there and back.
 	answerTime = 150 * time.Millisecond
+	// refusedTime is the time after which an opening packet without a copy and without a reply of the client must have been
+	// refused: the client sends a copy after 200 ms unless it has heard from the endpoint.
+	refusedTime = 350 * time.Millisecond
 	// openTime is the time after which a client has given up to open a flow, 1.4 s, with a margin.
 	openTime = 2 * time.Second
 	// sweepInterval is the time between two searches for flows that have ended unseen.
@@ -40,7 +43,7 @@
 	isBlamed     bool // counted as a failure of the server already, until the next progress
 
 	usual   *usual // of the service address
-	request uint64 // number of the request that is not judged yet, 0 if there is none
+	request uint64 // number of the request or opening packet that is not judged yet, 0 if there is none
 	before  uint32 // acknowledged when it was sent
 	till    uint32 // end of the data that were sent; meaningless before the first
 	hasSent bool
@@ -65,6 +68,7 @@
 		return nil, false
 	}
 	v := w.server
+	w.request = 0 // the client has heard nothing, so it was not refused
 	if now.Sub(w.openedAt) < answerTime {
 		return v, true // the packets were held up on the way; the server had no time to answer
 	}
@@ -94,6 +98,7 @@
 		v.flows++
 		v.opening++
 		v.placed++
+		f.judgeAt(now.Add(refusedTime), w)
 	}
 	w.seenAt = now
 }
@@ -136,7 +141,7 @@
 	w.seenAt = now
 	switch {
 	case w.isOpening:
-		w.isOpening, w.isBlamed = false, false
+		w.isOpening, w.isBlamed, w.request = false, false, 0
 		v.opening--
 		f.recorder.ObserveService(metric.OpenTime, v.endpoint.Service, now.Sub(w.openedAt))
 		w.acknowledged = p.Acknowledgment
@@ -160,7 +165,7 @@
 	if w.isOpening {
 		f.answers(now, v)
 	}
-	if w.request != 0 && w.server != nil {
+	if w.request != 0 && !w.isOpening {
 		if int32(p.Acknowledgment-w.acknowledged) > 0 {
 			w.acknowledged = p.Acknowledgment
 		}
--- a/core/coordination/steering/outcome.go
+++ b/core/coordination/steering/outcome.go
@@ -32,6 +32,8 @@
 	maxExpected = DefaultMaxFlows
 	// judgeStep is the granularity of the time at which requests are judged; ticks are not more frequent.
 	judgeStep = 100 * time.Millisecond
+	// maxSteps is the number of steps in the longest patience.
+	maxSteps = int64(maxPatience/judgeStep) + 1
 
 	// weighInterval is the time between two comparisons of endpoints.
 	weighInterval = 250 * time.Millisecond
@@ -147,16 +149,22 @@
 		u = &usual{}
 		f.usual[address] = u
 	}
+	w.usual, w.before = u, w.acknowledged
+	f.judgeAt(now.Add(u.patience()), w)
+}
+
+// judgeAt lets a flow be judged at a time, unless something else is known of it by then.
+func (f *Forwarder) judgeAt(at time.Time, w *flow) {
 	if f.waiting >= maxExpected {
 		return
 	}
+	step := at.UnixNano()/int64(judgeStep) + 1
 	if f.waiting == 0 {
-		f.judgedTo = now.UnixNano() / int64(judgeStep)
+		f.judgedTo = step - maxSteps
 	}
 	f.requests++
 	f.waiting++
-	w.usual, w.request, w.before = u, f.requests, w.acknowledged
-	step := now.Add(u.patience()).UnixNano()/int64(judgeStep) + 1
+	w.request = f.requests
 	f.expected[step] = append(f.expected[step], expected{w, w.request})
 }
 
@@ -166,14 +174,29 @@
 		f.judgedTo++
 		for _, x := range f.expected[f.judgedTo] {
 			f.waiting--
-			if x.flow.request == x.request && x.flow.server != nil {
-				f.judge(x.flow, true)
+			switch w := x.flow; {
+			case w.request != x.request || w.server == nil:
+			case w.isOpening:
+				w.request = 0
+				f.refused(now, w.server, w.openedAt)
+			default:
+				f.judge(w, true)
 			}
 		}
 		delete(f.expected, f.judgedTo)
 	}
 }
 
+// refused notes that the client of an opening packet has fallen silent: the endpoint has answered with a reset, as one
+// does whose process has ended.
+func (f *Forwarder) refused(now time.Time, v *server, openedAt time.Time) {
+	if v.progressAt.After(openedAt) {
+		return
+	}
+	v.refusedAt = now
+	f.fail(now, v, "opening packet refused")
+}
+
 // judge decides on a request by what the client has received since. Before its time is over, a request without an answer
 // is left open: its client may have lost interest.
 func (f *Forwarder) judge(w *flow, isOver bool) {
--- a/core/coordination/steering/report.go
+++ b/core/coordination/steering/report.go
@@ -33,7 +33,7 @@
 	Sender    member.Incarnation
 	IsPartial bool // holds silences alone; loads and outcomes of earlier reports stay valid
 	Loads     []Load
-	Silences  []uint32 // the first cookies of endpoints that do not answer this balancer while others do
+	Silences  []uint32 // the first cookies of endpoints that refuse flows, or do not answer this balancer while others do
 	Outcomes  []Outcome
 }
 
@@ -71,13 +71,18 @@
 func (f *Forwarder) silences(now time.Time) []uint32 {
 	var list []uint32
 	for id, v := range f.servers {
-		if len(list) < maxReportSilences && f.isSilent(now, v) {
+		if len(list) < maxReportSilences && (f.isSilent(now, v) || v.hasRefused(now)) {
 			list = append(list, directory.Cookie(id, 0))
 		}
 	}
 	return list
 }
 
+// hasRefused reports whether the endpoint has refused an opening packet lately and shown no sign of life since.
+func (v *server) hasRefused(now time.Time) bool {
+	return !v.refusedAt.IsZero() && v.refusedAt.After(v.progressAt) && now.Sub(v.refusedAt) <= silentFor
+}
+
 // HearReport takes the loads and the evidence of another balancer into account.
 func (f *Forwarder) HearReport(now time.Time, r *Report, from Origin) {
 	f.mu.Lock()
--- a/core/coordination/steering/server.go
+++ b/core/coordination/steering/server.go
@@ -32,6 +32,7 @@
 	silentFlows int       // flows that have repeated data in vain since the last progress
 	silentSince time.Time // when the first of these data was sent
 	silentAt    time.Time // when such data were last repeated
+	refusedAt   time.Time // when it last refused an opening packet
 
 	seen       evidence // requests judged here
 	told       evidence // as other balancers of the failure domain report
@@ -42,7 +43,7 @@
 
 // restart drops what was learned about the former incarnation. Its flows are forgotten as they end.
 func (v *server) restart() {
-	v.progressAt, v.suspicion, v.silentFlows = time.Time{}, suspicion{}, 0
+	v.progressAt, v.refusedAt, v.suspicion, v.silentFlows = time.Time{}, time.Time{}, suspicion{}, 0
 	v.seen, v.penalty = evidence{}, 0
 }
 
