Give other balancers the difference of configurations

Change: balancers keep the last 64 changes and answer with the difference; who lacks more, or gets little less than everything, still gets the whole.

--- a/core/coordination/discovery/discovery.go
+++ b/core/coordination/discovery/discovery.go
@@ -56,6 +56,7 @@
 type State struct {
 	config        Config
 	configuration *directory.Configuration
+	versions      versions
 	former        map[netip.AddrPort]map[string]time.Time // services of earlier versions, with the time to forget them
 	entries       map[string]*entry
 	revision      uint64 // of the newest list or change
@@ -105,6 +106,7 @@
 		}
 	}
 	s.expireBy(now.Add(s.config.FlowAge))
+	s.versions.add(s.configuration, c)
 	s.configuration = c
 	s.isDirty = true
 	return true
--- a/core/coordination/discovery/discovery_test.go
+++ b/core/coordination/discovery/discovery_test.go
@@ -300,3 +300,43 @@
 		}
 	})
 }
+
+// TestVersionsSince guards against a whole configuration for each change, which fills the links of small hosts, and
+// against differences that leave something out.
+func TestVersionsSince(t *testing.T) {
+	is := is.New(t)
+	s := discovery.New(discovery.Config{FlowAge: time.Minute, ReturnTime: time.Second})
+	many := func(v uint64, changed int) *directory.Configuration {
+		c := &directory.Configuration{Version: v}
+		for i := range 1000 {
+			service := "feed"
+			if i < changed {
+				service = "images"
+			}
+			c.Routes = append(c.Routes, directory.Route{
+				Address: netip.AddrPortFrom(netip.MustParseAddr("198.18.0.9"), uint16(i+1)), Targets: []directory.Target{{Service: service, Weight: 1}},
+			})
+		}
+		return c
+	}
+	s.Configure(start, many(5, 0))
+	_, ok := s.VersionsSince(0)
+	is.True(!ok) // a balancer that has none gets all
+	for v := range uint64(200) {
+		s.Configure(start, many(10+v, int(v%3)))
+	}
+	d, ok := s.VersionsSince(200)
+	is.True(ok)
+	is.True(d.Size() <= 2)
+	got, ok := d.Apply(many(200, int(190%3)))
+	is.True(ok)
+	is.Equal(got.Version, uint64(209))
+	is.Equal(len(got.Routes), 1000)
+	_, ok = s.VersionsSince(10) // bounded
+	is.True(!ok)
+	s.Configure(start, many(300, 900))
+	_, ok = s.VersionsSince(209) // nearly all routes are new
+	is.True(!ok)
+	_, ok = s.VersionsSince(208)
+	is.True(!ok)
+}
--- a/io/protocol/wire/peer/directory.go
+++ b/io/protocol/wire/peer/directory.go
@@ -24,7 +24,8 @@
 
 // Directory is what one balancer gives another that has older knowledge.
 type Directory struct {
-	Configuration *directory.Configuration // nil if the requester's is as new
+	Configuration *directory.Configuration // nil if the requester's is as new, or with a difference
+	Difference    *directory.Difference    // from the requester's configuration; nil if there is none
 	Revision      uint64                   // 0 if the requester's endpoints are as new
 	IsChange      bool                     // Changes hold the difference, otherwise Endpoints hold all
 	Changes       []discovery.Change
@@ -139,18 +140,28 @@
 	for i := range d.Endpoints {
 		x.Endpoints = append(x.Endpoints, newEndpoint(&d.Endpoints[i], now))
 	}
-	if d.Configuration == nil {
-		return x
+	if d.Configuration != nil {
+		x.Configuration = newConfiguration(d.Configuration, d.Configuration.Routes)
 	}
-	x.Configuration = &Configuration{
-		Version: d.Configuration.Version, IdleTimeoutMs: milliseconds(d.Configuration.IdleTimeout),
+	if d.Difference != nil {
+		x.ConfigurationChange = &ConfigurationChange{
+			From: d.Difference.From, To: newConfiguration(&d.Difference.Rest, d.Difference.Put),
+		}
+		for _, a := range d.Difference.Removed {
+			x.ConfigurationChange.Removed = append(x.ConfigurationChange.Removed, encodeAddress(a))
+		}
 	}
-	for _, r := range d.Configuration.Routes {
+	return x
+}
+
+func newConfiguration(c *directory.Configuration, routes []directory.Route) *Configuration {
+	x := &Configuration{Version: c.Version, IdleTimeoutMs: milliseconds(c.IdleTimeout)}
+	for _, r := range routes {
 		route := &Route{Name: r.Name, Address: encodeAddress(r.Address)}
 		for _, t := range r.Targets {
 			route.Targets = append(route.Targets, &Target{Service: t.Service, Weight: t.Weight})
 		}
-		x.Configuration.Routes = append(x.Configuration.Routes, route)
+		x.Routes = append(x.Routes, route)
 	}
 	return x
 }
@@ -169,6 +180,9 @@
 	if x.GetConfiguration() != nil {
 		d.Configuration = c.configuration(x.GetConfiguration())
 	}
+	if x.GetConfigurationChange() != nil {
+		d.Difference = c.difference(x.GetConfigurationChange())
+	}
 	if c.err != nil {
 		return nil, c.err
 	}
@@ -200,6 +214,22 @@
 	return r
 }
 
+func (c *checker) difference(x *ConfigurationChange) *directory.Difference {
+	to := c.configuration(x.GetTo())
+	if to == nil || !c.count("configuration_change.removed", len(x.GetRemoved()), maxRoutes) {
+		return nil
+	}
+	if x.GetFrom() == 0 || x.GetFrom() >= to.Version {
+		c.fail("configuration_change.from", ReasonOutOfRange)
+	}
+	d := &directory.Difference{From: x.GetFrom(), To: to.Version, Put: to.Routes, Rest: *to}
+	d.Rest.Routes = nil
+	for _, a := range x.GetRemoved() {
+		d.Removed = append(d.Removed, c.balancer("configuration_change.removed", a, true))
+	}
+	return d
+}
+
 // AppendLoad appends an encoded report.
 func AppendLoad(dst []byte, r *steering.Report) []byte {
 	x := &LoadReport{Sender: uint64(r.Sender), Partial: r.IsPartial, Silences: r.Silences}
--- a/io/protocol/wire/peer/directory_test.go
+++ b/io/protocol/wire/peer/directory_test.go
@@ -58,6 +58,21 @@
 	is.NoErr(err)
 	is.Equal(got, want)
 
+	difference := &Directory{Difference: &directory.Difference{
+		From: 12, To: 15, Put: want.Configuration.Routes, Removed: []netip.AddrPort{netip.MustParseAddrPort("198.18.0.2:443")},
+		Rest: directory.Configuration{Version: 15, IdleTimeout: 12 * time.Second},
+	}}
+	got, err = NewDirectoryReply(difference, directoryTime).Core(directoryTime)
+	is.NoErr(err)
+	is.Equal(got, difference)
+	for _, bad := range []*ConfigurationChange{
+		{}, {From: 3}, {From: 3, To: &Configuration{Version: 3}}, {To: &Configuration{Version: 3}},
+		{From: 3, To: &Configuration{Version: 4}, Removed: [][]byte{{1}}},
+	} {
+		_, err := (&DirectoryReply{ConfigurationChange: bad}).Core(directoryTime)
+		is.True(err != nil)
+	}
+
 	change := &Directory{Revision: 99, IsChange: true, Changes: sampleAnnouncement().Changes}
 	got, err = NewDirectoryReply(change, directoryTime).Core(directoryTime)
 	is.NoErr(err)
--- a/io/transport/direct/peers.go
+++ b/io/transport/direct/peers.go
@@ -251,6 +251,12 @@
 		if d.Configuration != nil {
 			p.configure(now, d.Configuration, "balancer")
 		}
+		if d.Difference != nil {
+			// It no longer follows if another answer was faster; the next announcement shows what is missing then.
+			if c, ok := d.Difference.Apply(p.state.Configuration()); ok {
+				p.configure(now, c, "balancer")
+			}
+		}
 		switch {
 		case d.IsChange:
 			p.apply(now, d.Changes, revision, d.Revision, "balancer")
@@ -268,7 +274,10 @@
 	defer p.mu.Unlock()
 	d := &wire.Directory{}
 	if p.state.Version() > version {
-		d.Configuration = p.state.Configuration()
+		var ok bool
+		if d.Difference, ok = p.state.VersionsSince(version); !ok {
+			d.Configuration, d.Difference = p.state.Configuration(), nil
+		}
 	}
 	if !p.state.IsComplete() || p.state.Revision() <= revision {
 		return d, nil
