Test slow endpoints with real processes, and add them to the soak

Cause: the judging of endpoints was tested in the core alone, and the soak had no endpoint that lives and answers late; its stand-in acknowledged data only with the answer, so that clients repeated them. Change: stand-in endpoints can answer late and acknowledge at once; a test lets one do so and expects the balancers' log to name it; the soak has the fault.

--- a/core/coordination/steering/steering_test.go
+++ b/core/coordination/steering/steering_test.go
@@ -478,3 +478,23 @@
 		}
 	}
 }
+
+// BenchmarkOpen measures the choice of an endpoint for a new flow, by the number of endpoints of its service.
+func BenchmarkOpen(b *testing.B) {
+	for _, n := range []int{4, 32, 120} {
+		b.Run(fmt.Sprint("endpoints=", n), func(b *testing.B) {
+			var endpoints []*directory.Endpoint
+			for i := range n {
+				endpoints = append(endpoints, endpoint(fmt.Sprintf("i-%08x", i), fmt.Sprint("attiki-", 1+i%3)))
+			}
+			w := newWorld(endpoints...)
+			b.ReportAllocs()
+			for b.Loop() {
+				w.ports++ // a flow that is tracked already is placed anew after its sequence has changed
+				w.Handle(start, &steering.Packet{Flow: steering.FlowKey{
+					Client: netip.AddrPortFrom(netip.MustParseAddr("100.64.0.7"), w.ports%64), Service: feed,
+				}, IsOpening: true, Sequence: uint32(w.ports)})
+			}
+		})
+	}
+}
--- a/standin/direct/endpoint.go
+++ b/standin/direct/endpoint.go
@@ -9,6 +9,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/pkg/errors"
 )
@@ -29,7 +30,8 @@
 	conn     *net.UDPConn
 	number   uint64
 	entry    map[string]any
-	isDark   atomic.Bool // takes nothing and says nothing
+	isDark   atomic.Bool  // takes nothing and says nothing
+	delay    atomic.Int64 // ns between a request and its answer
 	forged   atomic.Int64
 	opened   atomic.Int64
 
@@ -38,10 +40,11 @@
 }
 
 type endpointFlow struct {
-	sequence uint32 // next to send
-	expected uint32 // next to receive
-	cookie   uint32
-	last     []byte // last answer, sent again if its request comes again
+	sequence  uint32 // next to send
+	expected  uint32 // next to receive
+	cookie    uint32
+	last      []byte // last answer, sent again if its request comes again
+	isWorking bool   // its answer is not sent yet
 }
 
 // StartEndpoint starts an endpoint on a free loopback port and registers it.
@@ -75,6 +78,9 @@
 // SetDark lets the endpoint fall silent, or speak again.
 func (e *Endpoint) SetDark(isDark bool) { e.isDark.Store(isDark) }
 
+// SetDelay lets the endpoint answer requests late. It acknowledges their data at once.
+func (e *Endpoint) SetDelay(d time.Duration) { e.delay.Store(int64(d)) }
+
 // Forged returns the number of packets that did not arrive as their sender wrote them.
 func (e *Endpoint) Forged() int64 { return e.forged.Load() }
 
@@ -131,12 +137,32 @@
 		f.expected += uint32(len(p.data))
 		f.sequence += uint32(len(f.last))
 		f.last = []byte(e.settings.Service + " answers " + string(p.data))
-		e.send(p, f, flagAck, f.last)
+		e.answer(*p, key, f)
+	case len(p.data) > 0 && f.isWorking:
+		e.send(p, f, flagAck, nil)
 	case len(p.data) > 0 && len(f.last) > 0:
 		e.send(p, f, flagAck, f.last)
 	}
 }
 
+// answer sends the answer to a request, at once or after the delay.
+func (e *Endpoint) answer(p packet, key string, f *endpointFlow) {
+	delay := time.Duration(e.delay.Load())
+	if delay == 0 {
+		e.send(&p, f, flagAck, f.last)
+		return
+	}
+	f.isWorking = true
+	e.send(&p, f, flagAck, nil)
+	time.AfterFunc(delay, func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		if f.isWorking = false; e.flows[key] == f && !e.isDark.Load() {
+			e.send(&p, f, flagAck, f.last)
+		}
+	})
+}
+
 // send answers a packet of a client.
 func (e *Endpoint) send(p *packet, f *endpointFlow, flags byte, data []byte) {
 	sequence := f.sequence
--- a/standin/direct/flow.go
+++ b/standin/direct/flow.go
@@ -103,6 +103,8 @@
 			case len(p.data) > 0 && p.sequence == f.expected:
 				f.answer(p, text, isRepeated)
 				return true
+			case p.flags&flagAck != 0 && p.acknowledgment == f.sequence+uint32(len(text)):
+				repeat = nil // the endpoint has the data
 			}
 		case <-repeat:
 			wait *= 2
--- a/test/process/direct_test.go
+++ b/test/process/direct_test.go
@@ -1,6 +1,7 @@
 package process_test
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"net/netip"
@@ -15,6 +16,7 @@
 	"github.com/matryer/is"
 	"github.com/pkg/errors"
 
+	"cornellb/core/coordination/steering"
 	"cornellb/core/state/directory"
 	"cornellb/standin/direct"
 	"cornellb/standin/proxy"
@@ -347,6 +349,31 @@
 	is.True(r.TimedOut*2 <= r.Lost*3)       // most of them do not wait for their deadline
 }
 
+// TestDirectSlowEndpoint guards against new flows for an endpoint that answers late although it is registered as ready:
+// the balancers of its failure domain must find out, and log it for the operators. Its flows stay.
+func TestDirectSlowEndpoint(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := startDirect(t)
+	load := f.startLoad(manyFlows)
+	time.Sleep(3 * time.Second) // what is usual is known
+	f.endpoints["i-f0"].SetDelay(700 * time.Millisecond)
+	time.Sleep(4 * time.Second)
+	f.judge(load.Stop())
+	blamed := map[string]bool{}
+	for _, b := range f.balancers {
+		log, err := os.ReadFile(b.process.log)
+		is.NoErr(err)
+		for line := range bytes.Lines(log) {
+			var entry struct{ Msg, ID string }
+			if err := json.Unmarshal(line, &entry); err == nil && entry.Msg == steering.EndpointDegraded {
+				blamed[entry.ID] = true
+			}
+		}
+	}
+	is.True(blamed["i-f0"])
+}
+
 // TestDirectReload guards against a faulty settings file that disturbs a running balancer, and against settings that are
 // never taken over. The file may change with a signal or without one.
 func TestDirectReload(t *testing.T) {
--- a/test/process/soak_test.go
+++ b/test/process/soak_test.go
@@ -52,10 +52,11 @@
 	"configure": (*soak).change,
 	"replace":   (*soak).replace,
 	"silence":   (*soak).silence,
+	"slow":      (*soak).slow,
 }
 
 // order fixes the numbers of the kinds, so that a seed always means the same.
-var order = []string{"kill", "pause", "restart", "reload", "network", "store", "compact", "configure", "replace", "silence"}
+var order = []string{"kill", "pause", "restart", "reload", "network", "store", "compact", "configure", "replace", "silence", "slow"}
 
 // TestDirectSoak runs random faults of all kinds against real processes and checks the promises while they run: no open
 // flow is reset while its endpoint lives, nothing reaches another service or arrives changed, no process goes back to an
@@ -260,6 +261,15 @@
 // firstEndpoint is the number before those of new endpoints.
 const firstEndpoint = 0x100
 
+// slow lets an endpoint answer late for a time. It lives, so none of its flows may be reset.
+func (s *soak) slow() string {
+	id := []string{"i-f0", "i-f1", "i-a0"}[s.random.IntN(3)]
+	e := s.endpoints[id]
+	d := time.Duration(200+s.random.IntN(800)) * time.Millisecond
+	e.SetDelay(d)
+	return fmt.Sprintf("%s by %v for %v", id, d, s.later(func() { e.SetDelay(0) }))
+}
+
 // silence lets an endpoint fall silent for a time. Balancers may reset its flows from then on.
 func (s *soak) silence() string {
 	id := []string{"i-f2", "i-f3"}[s.random.IntN(2)]
