Judge requests by the steady clock

Cause: the steps at which requests are judged were counted on the time of day. After a jump back, requests would never have been judged, and after 65,536 of them no others either. Found in reading the change again. Change: steps count from the first request; they are 50 ms long. Endpoints that get no new flows are no measure for others.

--- a/core/coordination/steering/outcome.go
+++ b/core/coordination/steering/outcome.go
@@ -30,8 +30,8 @@
 	// maxUsual bounds the service addresses whose usual values are kept, maxExpected the requests that wait to be judged.
 	maxUsual    = 4096
 	maxExpected = DefaultMaxFlows
-	// judgeStep is the granularity of the time at which requests are judged; ticks are not more frequent.
-	judgeStep = 100 * time.Millisecond
+	// judgeStep is the granularity of the time at which requests are judged, half of the interval of ticks.
+	judgeStep = 50 * time.Millisecond
 	// maxSteps is the number of steps in the longest patience.
 	maxSteps = int64(maxPatience/judgeStep) + 1
 
@@ -84,7 +84,8 @@
 		*value += (x - *value) / float64(u.count+1)
 		return
 	}
-	*value += (min(x, usualCap**value) - *value) * usualWeight
+	limit := usualCap * *value
+	*value += (min(x, limit) - *value) * usualWeight
 }
 
 // evidence counts requests by their outcome; older ones count less.
@@ -125,7 +126,8 @@
 // outcomes judges requests by what their clients acknowledge, and endpoints by their requests.
 type outcomes struct {
 	usual    map[netip.AddrPort]*usual
-	expected map[int64][]expected // by judgeStep since 1970
+	began    time.Time            // of the first request; steps count from here, as the time of day may jump
+	expected map[int64][]expected // by the step at which they are judged
 	waiting  int                  // requests in expected
 	judgedTo int64                // steps up to this one are done
 	requests uint64               // numbers given to requests
@@ -158,7 +160,10 @@
 	if f.waiting >= maxExpected {
 		return
 	}
-	step := at.UnixNano()/int64(judgeStep) + 1
+	if f.began.IsZero() {
+		f.began = at
+	}
+	step := f.step(at) + 1
 	if f.waiting == 0 {
 		f.judgedTo = step - maxSteps
 	}
@@ -168,9 +173,14 @@
 	f.expected[step] = append(f.expected[step], expected{w, w.request})
 }
 
+// step returns the number of whole steps since the first request.
+func (f *Forwarder) step(at time.Time) int64 {
+	return int64(math.Floor(float64(at.Sub(f.began)) / float64(judgeStep)))
+}
+
 // judgeDue judges the requests whose time is over.
 func (f *Forwarder) judgeDue(now time.Time) {
-	for step := now.UnixNano() / int64(judgeStep); f.waiting > 0 && f.judgedTo < step; {
+	for step := f.step(now); f.waiting > 0 && f.judgedTo < step; {
 		f.judgedTo++
 		for _, x := range f.expected[f.judgedTo] {
 			f.waiting--
@@ -242,6 +252,10 @@
 			f.setWeight(v, 1, 0)
 			continue
 		}
+		if !v.endpoint.IsOpen() {
+			f.setWeight(v, 1, 0) // it gets no new flows, and its failures are no measure for others
+			continue
+		}
 		services[v.endpoint.Service] = append(services[v.endpoint.Service], v)
 	}
 	for _, list := range services {
--- a/core/coordination/steering/outcome_test.go
+++ b/core/coordination/steering/outcome_test.go
@@ -289,3 +289,14 @@
 	is.Equal(len(w.Report(w.now).Outcomes), 0)
 	is.Equal(len(flows), 40)
 }
+
+// TestRequestsAreForgotten guards against requests that are never judged and in the end keep all others from being judged.
+func TestRequestsAreForgotten(t *testing.T) {
+	is := is.New(t)
+	c := newCallers(t, 1, 4)
+	c.pass(3*time.Second, 100)
+	c.reply = func(string) reply { return noReply }
+	c.pass(3*time.Second, 100)
+	c.pass(5*time.Second, 0)
+	is.Equal(c.balancers[0].Expected(), 0)
+}
