Let an odd entry of the store cost that entry alone

Cause: a list or watch was decoded as one JSON text. An object nested deeper than the decoder's limit, a revision or name of another type, or a literal such as NaN made every read of the endpoints fail, and with it each later change. An entry with port 0, a multicast address or a long name was accepted from the store, but refused by the other balancers together with all that came in the same message. A list whose pages do not go on was read for ever. born was converted out of range, with other results on x86-64.

Change: a filter before the decoder replaces values that are nested too deeply and literals that JSON lacks, with bounded memory; objects are decoded one by one; endpoints and routes have one validation that store and peers share; an announcement leaves out its oldest changes if they do not fit into a datagram; names and reasons in logs are bounded.

Measured: on 22 of the 31 objects of TestForeignObjectAmongEndpoints failed, TestEndpointIsOverwrittenByForeignObject failed and TestListWithoutProgress did not end; all pass now. FuzzForeignObject ran 129,093 and FuzzReplyReader 64,489 inputs without a finding.

--- a/io/protocol/wire/peer/directory.go
+++ b/io/protocol/wire/peer/directory.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"errors"
 	"math"
 	"time"
 
@@ -16,7 +17,6 @@
 // Limits of received messages.
 const (
 	maxChanges       = 64
-	maxTargets       = 256
 	maxReportEntries = 256
 	maxEndpoints     = 1 << 20
 	maxRoutes        = 1 << 20
@@ -69,7 +69,10 @@
 	}
 	var changes []discovery.Change
 	for _, e := range list {
-		change := discovery.Change{ID: c.name("changes.id", e.GetId(), true), Revision: e.GetRevision()}
+		change := discovery.Change{ID: e.GetId(), Revision: e.GetRevision()}
+		if change.ID == "" || len(change.ID) > directory.MaxNameBytes {
+			c.fail("changes.id", ReasonOutOfRange)
+		}
 		if e.GetEndpoint() != nil {
 			change.Endpoint = c.endpoint(e.GetEndpoint(), now)
 		}
@@ -100,6 +103,14 @@
 	return a, nil
 }
 
+// checkEntry reports the field of an *directory.InvalidError. err may be nil.
+func (c *checker) checkEntry(entry string, err error) {
+	var invalid *directory.InvalidError
+	if errors.As(err, &invalid) {
+		c.fail(entry+"."+invalid.Field, ReasonOutOfRange)
+	}
+}
+
 func newEndpoint(e *directory.Endpoint, now time.Time) *Endpoint {
 	x := &Endpoint{
 		Id: e.ID, Number: e.Number, Service: e.Service, FailureDomain: e.FailureDomain, Address: encodeAddress(e.Address),
@@ -113,15 +124,11 @@
 
 func (c *checker) endpoint(x *Endpoint, now time.Time) *directory.Endpoint {
 	e := &directory.Endpoint{
-		ID: c.name("endpoint.id", x.GetId(), true), Number: x.GetNumber(),
-		Service:       c.name("endpoint.service", x.GetService(), true),
-		FailureDomain: c.name("endpoint.failure_domain", x.GetFailureDomain(), true),
-		Address:       c.unicastAddress("endpoint.address", x.GetAddress(), true), Slots: int(x.GetSlots()),
+		ID: x.GetId(), Number: x.GetNumber(), Service: x.GetService(), FailureDomain: x.GetFailureDomain(),
+		Address: c.address("endpoint.address", x.GetAddress(), true), Slots: int(min(x.GetSlots(), math.MaxInt32)),
 		IsLeaving: x.GetLeaving(), StartedAt: x.GetStartedAt(),
 	}
-	if e.Number == 0 || e.Slots < 1 {
-		c.fail("endpoint.number", ReasonOutOfRange)
-	}
+	c.checkEntry("endpoint", e.Validate())
 	if x.GetColdMs() > 0 {
 		e.WarmAt = now.Add(fromMilliseconds(x.GetColdMs()))
 	}
@@ -192,17 +199,11 @@
 		return nil
 	}
 	for _, route := range x.GetRoutes() {
-		y := directory.Route{Name: route.GetName(), Address: c.unicastAddress("route.address", route.GetAddress(), true)}
-		if len(route.GetTargets()) == 0 || len(route.GetTargets()) > maxTargets {
-			c.fail("route.targets", ReasonOutOfRange)
-			return nil
-		}
+		y := directory.Route{Name: route.GetName(), Address: c.address("route.address", route.GetAddress(), true)}
 		for _, t := range route.GetTargets() {
-			if !(t.GetWeight() > 0) || math.IsInf(t.GetWeight(), 0) {
-				c.fail("target.weight", ReasonOutOfRange)
-			}
-			y.Targets = append(y.Targets, directory.Target{Service: c.name("target.service", t.GetService(), true), Weight: t.GetWeight()})
+			y.Targets = append(y.Targets, directory.Target{Service: t.GetService(), Weight: t.GetWeight()})
 		}
+		c.checkEntry("route", y.Validate())
 		r.Routes = append(r.Routes, y)
 	}
 	return r
--- a/io/transport/direct/reader.go
+++ b/io/transport/direct/reader.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -324,6 +325,7 @@
 func (p *Process) logFaults(faults []Fault) {
 	for _, f := range faults {
 		p.metrics.Count(metric.BadEntry, f.Subject, 1)
+		f.Name, f.Reason = shorten(f.Name), shorten(f.Reason)
 		key := f.Subject + " " + f.Name
 		p.mu.Lock()
 		logged, isKnown := p.loggedFaults[key]
@@ -338,6 +340,16 @@
 	}
 }
 
+// maxFaultBytes bounds the name and the reason of a fault in logs. Both may quote an entry, which has up to 1 MB.
+const maxFaultBytes = 200
+
+func shorten(s string) string {
+	if len(s) <= maxFaultBytes {
+		return s
+	}
+	return strings.ToValidUTF8(s[:maxFaultBytes], "") + "..."
+}
+
 // maxLoggedFaults bounds the memory for faults that were logged. Beyond it, faults of further entries are only counted.
 const maxLoggedFaults = 1000
 
--- a/io/transport/peer/datagram.go
+++ b/io/transport/peer/datagram.go
@@ -90,13 +90,20 @@
 	return t.sendEncoded(s, to, KindGossip, b, err)
 }
 
-// SendAnnouncement sends the versions and recent changes that a reader of the store announces. It does not block. It
-// reports false if the datagram was dropped, which is counted.
+// SendAnnouncement sends the versions and recent changes that a reader of the store announces, without the oldest changes
+// if they do not fit into a datagram; the receiver fetches those. It does not block. It reports false if the datagram
+// was dropped, which is counted.
 func (t *Transport) SendAnnouncement(to netip.AddrPort, a *spread.Announcement) bool {
 	s := t.senders.Get().(*sender)
 	defer t.senders.Put(s)
-	b, err := peerwire.AppendAnnouncement(append(s.buffer[:0], typeAnnouncement), a, time.Now())
-	return t.sendEncoded(s, to, KindDirectory, b, err)
+	now, fitting := time.Now(), *a
+	for {
+		b, err := peerwire.AppendAnnouncement(append(s.buffer[:0], typeAnnouncement), &fitting, now)
+		if err != nil || len(b) <= maxDatagram || len(fitting.Changes) == 0 {
+			return t.sendEncoded(s, to, KindDirectory, b, err)
+		}
+		fitting.Base, fitting.Changes = fitting.Changes[0].Revision, fitting.Changes[1:]
+	}
 }
 
 // SendLoadReport sends a load report. It does not block. It reports false if the datagram was dropped, which is
--- a/io/transport/peer/peer_test.go
+++ b/io/transport/peer/peer_test.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -15,6 +17,8 @@
 	"cornellb/core/coordination/discovery"
 	"cornellb/core/coordination/membership"
 	"cornellb/core/coordination/spread"
+	"cornellb/core/coordination/steering"
+	"cornellb/core/state/directory"
 	"cornellb/core/state/flow"
 	"cornellb/core/state/member"
 	"cornellb/core/state/packet"
@@ -326,3 +330,45 @@
 	is.Equal(a.transport.Counters().SentBytes[KindDirectory], uint64(0))
 	is.Equal(a.transport.Counters().DroppedSendError, uint64(1))
 }
+
+// announcements records what a balancer announces to this one.
+type announcements struct{ received chan *spread.Announcement }
+
+func (a *announcements) HandleAnnouncement(_ netip.AddrPort, x *spread.Announcement) { a.received <- x }
+
+func (a *announcements) HandleLoadReport(netip.AddrPort, *steering.Report) {}
+
+func (a *announcements) HandleDirectory(context.Context, uint64, uint64) (*wire.DirectoryUpdate, error) {
+	return &wire.DirectoryUpdate{}, nil
+}
+
+// TestAnnouncementOfLongNames guards against entries with long names that keep all announcements from being sent, because
+// they do not fit into a datagram together.
+func TestAnnouncementOfLongNames(t *testing.T) {
+	is := is.New(t)
+	a := start(t, Settings{})
+	h := &announcements{received: make(chan *spread.Announcement, 1)}
+	r := NewRunner(systemClock{}, a)
+	b, err := Listen(Settings{Listen: loopback}, Handlers{Gossip: r, Members: r, Directory: h})
+	is.NoErr(err)
+	defer func() {
+		r.Close()
+		is.NoErr(b.Close())
+	}()
+	var changes []discovery.Change
+	for i := range 8 {
+		id := strings.Repeat("i", directory.MaxNameBytes-1) + strconv.Itoa(i)
+		changes = append(changes, discovery.Change{ID: id, Revision: uint64(20 + i), Endpoint: &directory.Endpoint{
+			ID: id, Number: 1, Service: strings.Repeat("s", directory.MaxNameBytes), FailureDomain: "attiki-1", Slots: 1,
+			Address: netip.MustParseAddrPort("10.0.0.1:80"),
+		}})
+	}
+	is.True(a.transport.SendAnnouncement(b.Address(), &spread.Announcement{
+		Reader: 7, Sequence: 1, Version: 3, Base: 19, Revision: 27, Changes: changes,
+	}))
+	x := <-h.received
+	is.Equal(x.Version, uint64(3))
+	is.True(len(x.Changes) > 0 && len(x.Changes) < len(changes))
+	is.Equal(x.Base, changes[len(changes)-len(x.Changes)-1].Revision)
+	is.Equal(x.Changes[len(x.Changes)-1].Revision, uint64(27))
+}
--- a/io/transport/platform/client.go
+++ b/io/transport/platform/client.go
@@ -201,7 +201,7 @@
 	case http.StatusNoContent:
 		return nil
 	case http.StatusOK:
-		if err := json.UnmarshalRead(body, k.Reply, ReplyOptions); err != nil {
+		if err := json.UnmarshalRead(newReplyReader(body), k.Reply, ReplyOptions); err != nil {
 			return &UnavailableError{Operation: k.Operation, Err: errors.Wrap(err, "read reply")}
 		}
 		return nil
