Hold packets until a starting balancer can decide on them

Clients send open flows' data again after up to 1.6 s only. Four flows were refused for lack of an endpoint, because the configuration had arrived before the list.

Change: a verdict Hold for packets that cannot be decided yet, and a queue with bounds in time, number and bytes; retransmissions replace the earlier packet. Without a list of endpoints nothing is refused any more.

--- a/core/coordination/discovery/discovery.go
+++ b/core/coordination/discovery/discovery.go
@@ -351,5 +351,7 @@
 	for _, e := range s.entries {
 		endpoints = append(endpoints, e.endpoint)
 	}
-	return directory.NewSnapshot(s.configuration, formerServices, endpoints), true
+	snapshot := directory.NewSnapshot(s.configuration, formerServices, endpoints)
+	snapshot.IsPartial = !s.isListed
+	return snapshot, true
 }
--- a/core/coordination/steering/steering.go
+++ b/core/coordination/steering/steering.go
@@ -67,6 +67,7 @@
 	Drop Verdict = iota
 	Forward
 	Reset // answer the client with a reset
+	Hold  // decide again when there is a configuration and a list of endpoints, see HoldQueue
 )
 
 // Reason explains a verdict other than Forward. It is the label of counters and log lines.
@@ -195,8 +196,8 @@
 	defer f.mu.Unlock()
 	var d Decision
 	switch {
-	case f.snapshot == nil, p.IsOpening && !f.isConfigured():
-		d = Decision{Reason: ReasonNotReady}
+	case f.snapshot == nil, p.IsOpening && !f.isComplete():
+		d = Decision{Verdict: Hold, Reason: ReasonNotReady}
 	case p.IsOpening:
 		d = f.handleOpening(now, p)
 	default:
@@ -214,6 +215,8 @@
 		f.recorder.Count(metric.Steered, kind, 1)
 	case Reset:
 		f.recorder.Count(metric.ResetSent, string(d.Reason), 1)
+	case Hold:
+		f.recorder.Count(metric.Held, string(d.Reason), 1)
 	default:
 		f.recorder.Count(metric.Dropped, string(d.Reason), 1)
 	}
@@ -282,11 +285,18 @@
 // isConfigured reports whether there is a configuration.
 func (f *Forwarder) isConfigured() bool { return f.snapshot.Configuration.Version != 0 }
 
+// isComplete reports whether there is a configuration and a list of endpoints. Before, no packet is refused for lack of
+// a route or an endpoint.
+func (f *Forwarder) isComplete() bool { return f.isConfigured() && !f.snapshot.IsPartial }
+
 // handleExisting decides on a packet of a flow that is already open. The cookie is enough to forward it: a balancer
 // that has just started can forward flows opened by other balancers before it has received the configuration, which is
 // most of the data that it reads.
 func (f *Forwarder) handleExisting(now time.Time, p *Packet) Decision {
 	e := f.snapshot.ByCookie(p.Cookie, p.Flow.Service)
+	if e == nil && f.snapshot.IsPartial {
+		return Decision{Verdict: Hold, Reason: ReasonNotReady}
+	}
 	if e == nil {
 		return Decision{Reason: ReasonUnknownCookie}
 	}
--- a/core/state/directory/directory.go
+++ b/core/state/directory/directory.go
@@ -80,6 +80,7 @@
 // Snapshot is an immutable set of lookups over one configuration version and a set of endpoints.
 type Snapshot struct {
 	Configuration  *Configuration
+	IsPartial      bool // no list of endpoints has been received yet
 	routes         map[netip.AddrPort]*Route
 	formerServices map[netip.AddrPort][]string // services that earlier versions used, by service address
 	cookies        map[uint32]cookieEndpoints
--- a/core/state/metric/metric.go
+++ b/core/state/metric/metric.go
@@ -29,6 +29,7 @@
 	Steered     Counter = "packets_steered"  // kind: packets forwarded to endpoints in the direct return mode
 	StoreCalls  Counter = "store_calls"      // call and outcome: calls to the platform's store
 	BadEntry    Counter = "bad_entries"      // subject: store entries that are not usable
+	Held        Counter = "packets_held"     // reason: packets that wait for the configuration or the list of endpoints
 	ResetSent   Counter = "resets_sent"      // reason: flows that the balancer reset in the direct return mode
 )
 
--- a/io/transport/direct/direct.go
+++ b/io/transport/direct/direct.go
@@ -101,6 +101,7 @@
 	wereEndpointsRead    bool // the same for the endpoint list
 
 	isComplete           atomic.Bool // a configuration and an endpoint list were received
+	isServing            atomic.Bool // socket is open
 	isDraining           atomic.Bool
 	configurationRequest readRequest
 	endpointsRequest     readRequest
@@ -127,6 +128,7 @@
 		return nil, err
 	}
 	p.log.Info("started", "host", s.ID, "failure_domain", s.FailureDomain, "packets", s.PacketAddress.String())
+	p.isServing.Store(true)
 	p.work.Go(p.socket.run)
 	p.work.Go(p.readConfiguration)
 	p.work.Go(p.readEndpoints)
@@ -189,6 +191,9 @@
 func (p *Process) publish(now time.Time) {
 	if s, ok := p.state.Snapshot(now); ok {
 		p.forwarder.SetSnapshot(now, s)
+		if p.isServing.Load() {
+			p.socket.wakeHeld()
+		}
 	}
 	if p.state.IsComplete() && !p.isComplete.Swap(true) {
 		p.log.Info("ready", "version", p.state.Version(), "revision", p.state.Revision())
--- a/io/transport/direct/log.go
+++ b/io/transport/direct/log.go
@@ -79,11 +79,12 @@
 	decisionMoved   = "flow opened elsewhere"
 	decisionRefused = "flow refused"
 	decisionDropped = "packet dropped"
+	decisionHeld    = "packet held"
 )
 
 func newDecisionLog(log *slog.Logger) *decisionLog {
 	d := &decisionLog{log: log, kinds: make(map[string]*decisionKind)}
-	for _, kind := range []string{decisionOpened, decisionMoved, decisionRefused, decisionDropped} {
+	for _, kind := range []string{decisionOpened, decisionMoved, decisionRefused, decisionDropped, decisionHeld} {
 		d.kinds[kind] = &decisionKind{limiter: rate.NewLimiter(decisionRate, decisionBurst)}
 	}
 	return d
@@ -96,6 +97,8 @@
 	switch {
 	case d.Verdict == steering.Reset:
 		kind = decisionRefused
+	case d.Verdict == steering.Hold:
+		kind = decisionHeld
 	case d.Verdict == steering.Forward && !p.IsOpening:
 		return
 	case d.Verdict == steering.Forward && d.SilentEndpoint != nil:
--- a/io/transport/direct/socket.go
+++ b/io/transport/direct/socket.go
@@ -3,6 +3,8 @@
 import (
 	"net"
 	"net/netip"
+	"os"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -35,7 +37,9 @@
 	destinations []net.UDPAddr // addresses of out
 	resetBuffers [][]byte      // for resets that are encoded
 	headroom     int
-	lastPacketAt atomic.Int64 // time of the last batch, in Unix nanoseconds by the adapters' clock
+	held         steering.HoldQueue // used only by the goroutine of run
+	heldCount    atomic.Int64       // Len of held
+	lastPacketAt atomic.Int64       // time of the last batch, in Unix nanoseconds by the adapters' clock
 }
 
 func listenPackets(p *Process) (*socket, error) {
@@ -79,6 +83,10 @@
 			if errors.Is(err, net.ErrClosed) {
 				return
 			}
+			if errors.Is(err, os.ErrDeadlineExceeded) {
+				s.decideHeld()
+				continue
+			}
 			s.process.log.Warn("read from the packet socket failed; retrying", "error", err)
 			select {
 			case <-s.process.ctx.Done():
@@ -103,23 +111,66 @@
 			s.process.countMalformed(err)
 			continue
 		}
-		d := s.process.forwarder.Handle(now, &p)
-		switch d.Verdict {
-		case steering.Forward:
-			b := s.buffers[i][:s.headroom+m.N]
-			s.process.adapters.Codec.Encode(b, d.Endpoint.Number, d.Cookie)
-			s.setDatagram(count, b, d.Endpoint.Address)
-			count++
-		case steering.Reset:
-			b, to := s.process.adapters.Codec.Reset(s.resetBuffers[count], &p)
-			s.setDatagram(count, b, to)
-			count++
-		}
-		s.process.recordDecision(now, &p, d)
+		count = s.decidePacket(now, &p, s.buffers[i][:s.headroom+m.N], now, count)
+	}
+	return count
+}
+
+// decidePacket handles one packet, whose datagram begins after the headroom of b. It places the datagram to send, if
+// there is one, at index count of out, and returns the number of datagrams there.
+func (s *socket) decidePacket(now time.Time, p *steering.Packet, b []byte, receivedAt time.Time, count int) int {
+	d := s.process.forwarder.Handle(now, p)
+	switch d.Verdict {
+	case steering.Forward:
+		s.process.adapters.Codec.Encode(b, d.Endpoint.Number, d.Cookie)
+		s.setDatagram(count, b, d.Endpoint.Address)
+		count++
+	case steering.Reset:
+		reset, to := s.process.adapters.Codec.Reset(s.resetBuffers[count], p)
+		s.setDatagram(count, reset, to)
+		count++
+	case steering.Hold:
+		dropped := s.held.Add(receivedAt, p, slices.Clone(b))
+		s.process.metrics.Count(metric.Dropped, "held_too_many", int64(dropped))
+		s.heldCount.Store(int64(s.held.Len()))
 	}
+	s.process.recordDecision(now, p, d)
 	return count
 }
 
+// wakeHeld makes the goroutine of run decide the held packets again, if there are any.
+func (s *socket) wakeHeld() {
+	if s.heldCount.Load() == 0 {
+		return
+	}
+	if err := s.conn.SetReadDeadline(time.Unix(1, 0)); err != nil && !errors.Is(err, net.ErrClosed) {
+		s.process.log.Warn("held packets wait for the next packet", "error", err)
+	}
+}
+
+// decideHeld decides the held packets again.
+func (s *socket) decideHeld() {
+	if err := s.conn.SetReadDeadline(time.Time{}); err != nil {
+		return // the socket is closed
+	}
+	now := s.process.adapters.Clock.Now()
+	due, expired := s.held.Take(now)
+	s.heldCount.Store(0)
+	s.process.metrics.Count(metric.Dropped, "held_too_long", int64(expired))
+	for batch := range slices.Chunk(due, batchSize) {
+		count := 0
+		for i := range batch {
+			h := &batch[i]
+			count = s.decidePacket(now, &h.Packet, h.Datagram, h.ReceivedAt, count)
+		}
+		s.send(count)
+	}
+	if len(due) > 0 {
+		s.process.log.Info("held packets decided", "packets", len(due), "held_again", s.held.Len(), "expired", expired,
+			"longest_ms", now.Sub(due[0].ReceivedAt).Milliseconds())
+	}
+}
+
 // sendResets sends the resets that the forwarder issues of its own accord, not in answer to a packet, because an
 // endpoint is dead. It may run concurrently with run.
 func (s *socket) sendResets() {
