Choose an endpoint among a sample of its failure domain

Cause: each opening packet looked at all endpoints of the service in all failure domains, so that the choice took 4.4, 52 and 626 us at 32, 480 and 4,800 endpoints (BenchmarkOpen, which now advances the time and confirms the flows). 59 balancers that compare all endpoints by reports of the same age also agree on the same ones.

Change: up to 16 endpoints of the own failure domain are compared: all of a domain that has no more, otherwise a random sample that shrinks as more balancers choose, and two of another domain. The whole group is compared only if the sample is suspect. The sums by which domains are compared are at most 50 ms and 0.25 ms for each endpoint old. The reports of silent endpoints look at those with evidence only.

--- a/core/coordination/steering/choice.go
+++ b/core/coordination/steering/choice.go
@@ -1,10 +1,8 @@
 package steering
 
 import (
-	"math/rand/v2"
+	"math"
 	"time"
-
-	"cornellb/core/state/directory"
 )
 
 // While the own failure domain has an endpoint that is not suspect, a new flow goes to another domain only if the mean
@@ -27,133 +25,196 @@
 // suspectPenalty is a cost that ranks suspect endpoints behind all others.
 const suspectPenalty = 1e6
 
-// choose returns the endpoint for a new flow of a service, or nil. It returns the excluded endpoint only if there is no
-// other. The own failure domain is preferred, unless it is clearly more loaded as a whole than another one.
-func (f *Forwarder) choose(now time.Time, service string, excluded *endpointState) *endpointState {
-	own := f.domainOf(f.config.FailureDomain)
-	for _, d := range f.domains {
-		d.candidates = candidates{}
+const (
+	// minChoices and maxChoices bound the number of endpoints of the own failure domain that are compared for a new
+	// flow, see choices.
+	minChoices = 4
+	maxChoices = 16
+	// choicesPerShare is the number of endpoints that are compared, in units of the endpoints of a balancer's share.
+	choicesPerShare = 6
+	// otherDomainChoices is the number of endpoints that are compared in another failure domain. Reports to balancers of
+	// other failure domains come late, so that all of them would otherwise choose the same best endpoint.
+	otherDomainChoices = 2
+	// aggregateAge is the age up to which the sums over the endpoints of a service are used, and aggregateAgePerEndpoint
+	// what each endpoint adds to it, so that the sums take the same part of the processor at each size.
+	aggregateAge            = 50 * time.Millisecond
+	aggregateAgePerEndpoint = 250 * time.Microsecond
+)
+
+// service holds the endpoints of a service that may get new flows, by failure domain.
+type service struct {
+	groups       []*group
+	own          *group // nil if the own failure domain has none
+	endpoints    int
+	aggregatedAt time.Time
+	meanLoad     float64 // of all endpoints, as this balancer estimates it; 0 while no outcomes of requests are known
+}
+
+// group holds the endpoints of a service in one failure domain, and sums over them as of service.aggregatedAt.
+type group struct {
+	domain    *domain
+	endpoints []*endpointState
+	loadSum   float64
+	weightSum float64
+	eligible  int // endpoints that are not suspect
+}
+
+// mean returns the load per unit of weight, so that endpoints with a reduced weight count as less capacity.
+func (g *group) mean() float64 { return g.loadSum / g.weightSum }
+
+// serviceNamed returns the endpoints of a service, with sums that are recent enough.
+func (f *Forwarder) serviceNamed(now time.Time, name string) *service {
+	s := f.services[name]
+	if s == nil {
+		s = f.newService(name)
+		f.services[name] = s
 	}
-	reporters := own.reporters
-	endpoints := f.snapshot.EndpointsOf(service)
-	meanLoad := f.meanLoad(now, endpoints, reporters)
-	for _, e := range endpoints {
+	limit := aggregateAge + time.Duration(s.endpoints)*aggregateAgePerEndpoint
+	if s.aggregatedAt.IsZero() || now.Sub(s.aggregatedAt) >= limit {
+		f.aggregate(now, s)
+	}
+	return s
+}
+
+func (f *Forwarder) newService(name string) *service {
+	s := &service{}
+	groups := make(map[string]*group)
+	for _, e := range f.snapshot.EndpointsOf(name) {
 		v := f.endpointStates[e.ID]
 		if v == nil || !v.hasCookie {
 			continue
 		}
-		f.suspectUnconfirmed(now, v)
-		cost := v.load(now, reporters) + tieBreakNoise*f.random.Float64()/float64(max(e.Slots, 1))
-		if v.penalty > 0 {
-			// The load of an endpoint with few flows is a poor basis for the penalty, so at least the mean load is
-			// used.
-			cost += max(cost, meanLoad) * (1/v.weight() - 1)
-		}
-		if !v.isEligible(now) {
-			cost += suspectPenalty * float64(1+v.failures)
-		}
-		if v == excluded {
-			cost += suspectPenalty * suspectPenalty
+		g := groups[e.FailureDomain]
+		if g == nil {
+			g = &group{domain: f.domainOf(e.FailureDomain)}
+			groups[e.FailureDomain] = g
+			s.groups = append(s.groups, g)
 		}
-		f.domainOf(e.FailureDomain).add(v, cost, v.load(now, 0), f.random)
+		g.endpoints = append(g.endpoints, v)
+		s.endpoints++
 	}
-	other := f.leastLoaded(now, own)
-	switch {
-	case other == nil || own.best != nil && own.lowestCost < suspectPenalty && !isOverloaded(own, other):
-		return own.best
-	case own.best != nil && other.lowestCost >= own.lowestCost:
-		return own.best // neither domain has an endpoint that is not suspect
+	s.own = groups[f.config.FailureDomain]
+	return s
+}
+
+// aggregate computes the sums over the endpoints of a service.
+func (f *Forwarder) aggregate(now time.Time, s *service) {
+	s.aggregatedAt, s.meanLoad = now, 0
+	reporters := f.domainOf(f.config.FailureDomain).reporters
+	for _, g := range s.groups {
+		g.loadSum, g.weightSum, g.eligible = 0, 0, 0
+		for _, v := range g.endpoints {
+			f.suspectUnconfirmed(now, v)
+			g.loadSum += v.load(now, 0)
+			g.weightSum += v.weight()
+			if v.isEligible(now) {
+				g.eligible++
+			}
+			if len(f.withEvidence) > 0 {
+				s.meanLoad += v.load(now, reporters) / float64(s.endpoints)
+			}
+		}
 	}
-	return other.pickSampled()
 }
 
-// meanLoad returns the mean load of endpoints, or 0 while no outcomes of requests are known. reporters is the number of
-// other balancers of the own failure domain that report.
-func (f *Forwarder) meanLoad(now time.Time, endpoints []*directory.Endpoint, reporters int) float64 {
-	if len(f.withEvidence) == 0 {
-		return 0
+// choose returns the endpoint for a new flow of a service, or nil. It returns the excluded endpoint only if there is no
+// other. The own failure domain is preferred, unless it is clearly more loaded as a whole than another one. The time it
+// takes does not depend on the number of endpoints, except that all of a failure domain are compared while those that it
+// looks at first are suspect.
+func (f *Forwarder) choose(now time.Time, name string, excluded *endpointState) *endpointState {
+	s := f.serviceNamed(now, name)
+	var best *endpointState
+	lowest := 0.0
+	if s.own != nil {
+		best, lowest = f.cheapest(now, s, s.own, f.choices(s.own), excluded)
 	}
-	sum, n := 0.0, 0
-	for _, e := range endpoints {
-		if v := f.endpointStates[e.ID]; v != nil {
-			sum += v.load(now, reporters)
-			n++
-		}
+	other, otherLoad := f.leastLoaded(now, s)
+	if other == nil || best != nil && lowest < suspectPenalty && s.own.mean() <= SpillFactor*otherLoad+SpillMargin {
+		return best
+	}
+	candidate, cost := f.cheapest(now, s, other, otherDomainChoices, excluded)
+	if best != nil && cost >= lowest && lowest >= suspectPenalty {
+		return best // neither domain has an endpoint that is not suspect
 	}
-	return sum / float64(max(n, 1))
+	return candidate
 }
 
-// isOverloaded reports whether a failure domain is clearly more loaded than another one.
-func isOverloaded(own, other *domain) bool { return own.mean() > SpillFactor*other.mean()+SpillMargin }
+// choices returns the number of endpoints of the own failure domain that are compared for a new flow: all of a few. Many
+// balancers that compare all of many would choose the same one, since they know of each other's choices by reports that
+// are up to some seconds old.
+func (f *Forwarder) choices(g *group) int {
+	if len(g.endpoints) <= maxChoices {
+		return maxChoices
+	}
+	share := float64(len(g.endpoints)) / float64(1+max(g.domain.reporters, g.domain.members-1))
+	return min(max(int(math.Ceil(choicesPerShare*share)), minChoices), maxChoices)
+}
 
-// leastLoaded returns the failure domain other than the own one with the lowest load, or nil if no other has endpoints
-// of the service. Suspect domains and those without a reporting balancer come last.
-func (f *Forwarder) leastLoaded(now time.Time, own *domain) *domain {
-	var best *domain
+// cheapest returns the endpoint with the lowest cost of a number of random ones, with its cost. If all of these are
+// suspect, it compares all endpoints of the group.
+func (f *Forwarder) cheapest(now time.Time, s *service, g *group, choices int, excluded *endpointState) (*endpointState, float64) {
+	n := len(g.endpoints)
+	var best *endpointState
 	lowest := 0.0
-	for _, d := range f.domains {
-		if d == own || d.best == nil {
-			continue
+	if choices < n {
+		for range choices {
+			v := g.endpoints[f.random.IntN(n)]
+			if cost := f.cost(now, s, v, excluded); best == nil || cost < lowest {
+				best, lowest = v, cost
+			}
 		}
-		if d.reporters == 0 {
-			d.loadSum += unreportedLoad * float64(d.count)
+		if lowest < suspectPenalty {
+			return best, lowest
 		}
-		if !d.isEligible(now) {
-			d.loadSum += suspectPenalty * float64(d.count)
-			d.lowestCost += suspectPenalty
-		}
-		if cost := d.mean() + d.lowestCost; best == nil || cost < lowest {
-			best, lowest = d, cost
+	}
+	for _, v := range g.endpoints {
+		if cost := f.cost(now, s, v, excluded); best == nil || cost < lowest {
+			best, lowest = v, cost
 		}
 	}
-	return best
+	return best, lowest
 }
 
-// candidates holds the endpoints of a service in one failure domain while an endpoint is chosen.
-type candidates struct {
-	best        *endpointState
-	lowestCost  float64 // cost of best
-	loadSum     float64
-	weightSum   float64
-	count       int
-	sample      [2]*endpointState // two endpoints drawn uniformly at random
-	sampleCosts [2]float64
-}
-
-func (c *candidates) add(v *endpointState, cost, load float64, random *rand.Rand) {
-	c.count++
-	c.loadSum += load
-	c.weightSum += v.weight()
-	if c.best == nil || cost < c.lowestCost {
-		c.best, c.lowestCost = v, cost
-	}
-	// Reservoir sampling: each endpoint is in the sample with the same probability.
-	i := c.count - 1
-	if i >= len(c.sample) {
-		i = random.IntN(c.count)
+// cost returns the cost of placing a new flow on an endpoint: the load that it would have, increased if it is suspect or
+// fails requests.
+func (f *Forwarder) cost(now time.Time, s *service, v, excluded *endpointState) float64 {
+	f.suspectUnconfirmed(now, v)
+	reporters := f.domainOf(f.config.FailureDomain).reporters
+	cost := v.load(now, reporters) + tieBreakNoise*f.random.Float64()/float64(max(v.endpoint.Slots, 1))
+	if v.penalty > 0 {
+		// The load of an endpoint with few flows is a poor basis for the penalty, so at least the mean load is used.
+		cost += max(cost, s.meanLoad) * (1/v.weight() - 1)
 	}
-	if i < len(c.sample) {
-		c.sample[i], c.sampleCosts[i] = v, cost
+	if !v.isEligible(now) {
+		cost += suspectPenalty * float64(1+v.failures)
 	}
-}
-
-// mean returns the load per unit of weight, so that endpoints with a reduced weight count as less capacity.
-func (c *candidates) mean() float64 {
-	if c.count == 0 {
-		return 0
+	if v == excluded {
+		cost += suspectPenalty * suspectPenalty
 	}
-	return c.loadSum / c.weightSum
+	return cost
 }
 
-// pickSampled returns the cheaper of two random endpoints. Reports to balancers of other failure domains come late, so
-// that all of them would otherwise choose the same best endpoint.
-func (c *candidates) pickSampled() *endpointState {
-	v, cost := c.sample[0], c.sampleCosts[0]
-	if c.sample[1] != nil && c.sampleCosts[1] < cost {
-		v, cost = c.sample[1], c.sampleCosts[1]
-	}
-	if cost >= suspectPenalty {
-		return c.best
+// leastLoaded returns the endpoints of the failure domain other than the own one with the lowest load, or nil if no other
+// has endpoints of the service. Suspect domains, those whose endpoints are all suspect, and those without a reporting
+// balancer come last: their load counts as higher.
+func (f *Forwarder) leastLoaded(now time.Time, s *service) (best *group, lowest float64) {
+	for _, g := range s.groups {
+		if g == s.own {
+			continue
+		}
+		cost := g.mean()
+		if g.domain.reporters == 0 {
+			cost += unreportedLoad
+		}
+		if !g.domain.isEligible(now) {
+			cost += suspectPenalty
+		}
+		if g.eligible == 0 {
+			cost += suspectPenalty
+		}
+		if best == nil || cost < lowest {
+			best, lowest = g, cost
+		}
 	}
-	return v
+	return best, lowest
 }
--- a/core/coordination/steering/dead.go
+++ b/core/coordination/steering/dead.go
@@ -170,7 +170,9 @@
 	var dead []*endpointState
 	for v := range f.silentStates {
 		if v.silentFlows == 0 {
-			delete(f.silentStates, v)
+			if !v.hasRefused(now) {
+				delete(f.silentStates, v)
+			}
 			continue
 		}
 		if v.waitingFlows > 0 && f.isDead(now, v) {
--- a/core/coordination/steering/domain.go
+++ b/core/coordination/steering/domain.go
@@ -23,7 +23,6 @@
 // domain is the state that a balancer keeps for one failure domain.
 type domain struct {
 	suspicion
-	candidates
 	silence   silence // of its endpoints, as of the last tick
 	isCut     bool    // whether this balancer reached none of them, as of the last tick
 	reporters int     // balancers there with an unexpired report
--- a/core/coordination/steering/herd_test.go
+++ b/core/coordination/steering/herd_test.go
@@ -17,6 +17,7 @@
 	balancers []*harness
 	endpoints []*directory.Endpoint
 	flows     map[string]int // open flows by endpoint
+	opened    map[string]int // flows that were opened, by endpoint
 	open      []fleetFlow
 	random    *rand.Rand
 }
@@ -27,7 +28,7 @@
 }
 
 func newFleet(balancers int, endpoints ...*directory.Endpoint) *fleet {
-	f := &fleet{flows: map[string]int{}, endpoints: endpoints, random: rand.New(rand.NewPCG(3, 4))}
+	f := &fleet{flows: map[string]int{}, opened: map[string]int{}, endpoints: endpoints, random: rand.New(rand.NewPCG(3, 4))}
 	for i := range balancers {
 		w := newHarness(endpoints...)
 		w.Forwarder = steering.New(testConfig, recorder{}, rand.New(rand.NewPCG(uint64(i), 9)))
@@ -53,6 +54,7 @@
 			w := f.balancers[f.random.IntN(len(f.balancers))]
 			g := w.openEstablished(t)
 			f.flows[g.endpoint.ID]++
+			f.opened[g.endpoint.ID]++
 			f.open = append(f.open, fleetFlow{w, g})
 		}
 		keep := f.open[:0]
@@ -73,9 +75,10 @@
 func (f *fleet) report(from int) {
 	r := f.balancers[from].Report(f.balancers[from].now)
 	r.Sender = member.Incarnation(from + 1)
+	origin := steering.Origin{FailureDomain: "attiki-1", Members: len(f.balancers)}
 	for _, to := range f.random.Perm(len(f.balancers))[:min(8, len(f.balancers))] {
 		if to != from {
-			f.balancers[to].ApplyReport(f.balancers[to].now, r, ownDomain)
+			f.balancers[to].ApplyReport(f.balancers[to].now, r, origin)
 		}
 	}
 }
--- a/core/coordination/steering/outcome.go
+++ b/core/coordination/steering/outcome.go
@@ -215,6 +215,7 @@
 		return
 	}
 	v.refusedAt = now
+	f.silentStates[v] = struct{}{}
 	f.recordFailure(now, openedAt, v, "opening packet refused")
 }
 
--- a/core/coordination/steering/report.go
+++ b/core/coordination/steering/report.go
@@ -76,7 +76,7 @@
 // are more than a report holds, those whose last report is oldest are included, so that each is included in turn.
 func (f *Forwarder) silences(now time.Time) []uint32 {
 	var silent []*endpointState
-	for _, v := range f.endpointStates {
+	for v := range f.silentStates {
 		if f.isSilent(now, v) || v.hasRefused(now) {
 			silent = append(silent, v)
 		}
--- a/core/coordination/steering/steering.go
+++ b/core/coordination/steering/steering.go
@@ -122,10 +122,11 @@
 	confirmedAt    time.Time // when the configuration was last known to be the newest
 	endpointStates map[string]*endpointState
 	byCookie       map[uint32]*endpointState   // by Cookie(ID, 0)
-	silentStates   map[*endpointState]struct{} // at least those with silentFlows; a tick removes the others
+	silentStates   map[*endpointState]struct{} // at least those with silentFlows or a recent refusal; a tick removes the others
 	flows          map[FlowKey]*flow
 	reports        map[member.Incarnation]receivedReport
 	domains        map[string]*domain
+	services       map[string]*service // by name; built when first used, discarded with the snapshot
 	sweptAt        time.Time
 	configuredAt   time.Time // when the first snapshot with a configuration arrived
 	healthEvents   []HealthEvent
@@ -144,7 +145,7 @@
 		config: c, recorder: r, random: random,
 		endpointStates: make(map[string]*endpointState), silentStates: make(map[*endpointState]struct{}),
 		flows: make(map[FlowKey]*flow), reports: make(map[member.Incarnation]receivedReport),
-		domains: make(map[string]*domain), outcomes: newOutcomes(),
+		domains: make(map[string]*domain), services: make(map[string]*service), outcomes: newOutcomes(),
 	}
 }
 
@@ -179,6 +180,7 @@
 	}
 	f.resetHealth(restarted)
 	f.indexCookies()
+	clear(f.services)
 }
 
 // Confirm records that the configuration in force was the newest one at the given time.
--- a/core/coordination/steering/steering_test.go
+++ b/core/coordination/steering/steering_test.go
@@ -522,21 +522,25 @@
 	}
 }
 
-// BenchmarkOpen measures the choice of an endpoint for a new flow, by the number of endpoints of its service.
+// BenchmarkOpen measures the choice of an endpoint for a new flow, which the client confirms, by the number of endpoints of
+// its service, at a hundred new flows a second.
 func BenchmarkOpen(b *testing.B) {
-	for _, n := range []int{4, 32, 120} {
+	for _, n := range []int{4, 32, 120, 480, 4800} {
 		b.Run(fmt.Sprint("endpoints=", n), func(b *testing.B) {
 			var endpoints []*directory.Endpoint
 			for i := range n {
 				endpoints = append(endpoints, endpoint(fmt.Sprintf("i-%08x", i), fmt.Sprint("attiki-", 1+i%3)))
 			}
 			w := newHarness(endpoints...)
+			f := &flow{key: steering.FlowKey{Service: feedAddress}}
 			b.ReportAllocs()
 			for b.Loop() {
 				w.ports++ // a new sequence number makes an endpoint be chosen for a flow that is tracked already
-				w.Handle(start, &steering.Packet{Flow: steering.FlowKey{
-					Client: netip.AddrPortFrom(netip.MustParseAddr("100.64.0.7"), w.ports%64), Service: feedAddress,
-				}, IsOpening: true, Sequence: uint32(w.ports)})
+				f.sequence = uint32(w.ports)
+				f.key.Client = netip.AddrPortFrom(netip.MustParseAddr("100.64.0.7"), w.ports%64)
+				w.now = w.now.Add(10 * time.Millisecond)
+				w.repeat(f)
+				w.confirm(f)
 			}
 		})
 	}
