Decode replies apart only if they cannot be decoded as a whole

Change: a reply is decoded as a whole first; the filter and the decoding of single objects and routes are used only after that fails. Calls of the request mode stay strict.

--- a/io/transport/platform/client.go
+++ b/io/transport/platform/client.go
@@ -16,6 +16,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"reflect"
 	"strconv"
 	"strings"
 	"time"
@@ -148,6 +149,9 @@
 	Body       []byte        // JSON, or nil
 	Wait       time.Duration // of a watch; 0 for other calls
 	Reply      any           // pointer into which the JSON body of a response with status 200 is decoded
+	// Lenient holds further options for a reply that cannot be decoded as a whole: it is then decoded once more with them,
+	// through a filter that replaces values which no JSON decoder accepts. If it is nil, the call fails.
+	Lenient json.Options
 }
 
 // doWithRetries makes up to ReadAttempts attempts while errors are retryable. The request must have no side effects.
@@ -201,7 +205,7 @@
 	case http.StatusNoContent:
 		return nil
 	case http.StatusOK:
-		if err := json.UnmarshalRead(newReplyReader(body), k.Reply, ReplyOptions); err != nil {
+		if err := k.decodeReply(body); err != nil {
 			return &UnavailableError{Operation: k.Operation, Err: errors.Wrap(err, "read reply")}
 		}
 		return nil
@@ -225,6 +229,20 @@
 	return &RequestError{Operation: k.Operation, Status: response.StatusCode, Message: reply.Message}
 }
 
+// decodeReply decodes the body of a successful response.
+func (k Call) decodeReply(body io.Reader) error {
+	if k.Lenient == nil {
+		return json.UnmarshalRead(body, k.Reply, ReplyOptions)
+	}
+	var read bytes.Buffer
+	err := json.UnmarshalRead(io.TeeReader(body, &read), k.Reply, ReplyOptions)
+	if err == nil {
+		return nil
+	}
+	reflect.ValueOf(k.Reply).Elem().SetZero() // it was decoded in part
+	return json.UnmarshalRead(newReplyReader(io.MultiReader(&read, body)), k.Reply, ReplyOptions, k.Lenient)
+}
+
 func isRetryable(err error) bool {
 	var unavailable *UnavailableError
 	var limited *RateLimitError
