Let a configuration count as the newest for the time between two reads

Cause: a configuration counted as the newest for 2 s after a read, but where the limit for applying one is 6 s the readers read it every 2.7 s. While the store did not answer, such packets made each balancer call it again and again.

Change: the time is that after which a balancer reads the store itself, 0.65 of the limit, as before for a limit of 3 s. Packets request no read while the last one has failed.

--- a/core/coordination/steering/flow.go
+++ b/core/coordination/steering/flow.go
@@ -14,9 +14,8 @@
 	// DefaultMaxFlows bounds the memory for tracked flows to about 20 MB. The deployment size expected in two years has
 	// 16,000 flows on each balancer.
 	DefaultMaxFlows = 65536
-	// confirmedFor is how long the configuration counts as the newest after it was read. It is longer than the interval
-	// between reads.
-	confirmedFor = 2 * time.Second
+	// DefaultConfirmedFor is how long the configuration counts as the newest after it was read, if Config sets nothing.
+	DefaultConfirmedFor = 2 * time.Second
 	// answerTime is the time in which a healthy endpoint answers an opening packet. Clients retransmit the packet after
 	// 200 ms; the longest round trip between failure domains takes some 10 ms.
 	answerTime = 150 * time.Millisecond
--- a/core/coordination/steering/steering.go
+++ b/core/coordination/steering/steering.go
@@ -108,7 +108,11 @@
 type Config struct {
 	FailureDomain string
 	FlowAge       time.Duration // longest life of a flow; 0 if there is no limit
-	MaxFlows      int           // limit of tracked flows; others are forwarded untracked. 0 means DefaultMaxFlows
+	// ConfirmedFor is how long the configuration counts as the newest after it was read. It must be longer than the
+	// interval between reads, and shorter than the time within which a new configuration must take effect. 0 means
+	// DefaultConfirmedFor.
+	ConfirmedFor time.Duration
+	MaxFlows     int // limit of tracked flows; others are forwarded untracked. 0 means DefaultMaxFlows
 }
 
 // Forwarder decides on packets.
@@ -142,6 +146,9 @@
 	if c.MaxFlows <= 0 {
 		c.MaxFlows = DefaultMaxFlows
 	}
+	if c.ConfirmedFor <= 0 {
+		c.ConfirmedFor = DefaultConfirmedFor
+	}
 	return &Forwarder{
 		config: c, recorder: r, random: random,
 		endpointStates: make(map[string]*endpointState), silentStates: make(map[*endpointState]struct{}),
@@ -193,6 +200,13 @@
 	}
 }
 
+// SetConfirmedFor replaces Config.ConfirmedFor.
+func (f *Forwarder) SetConfirmedFor(d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.config.ConfirmedFor = d
+}
+
 // Handle decides on one packet of a client.
 func (f *Forwarder) Handle(now time.Time, p *Packet) Decision {
 	f.mu.Lock()
@@ -262,7 +276,7 @@
 	if f.snapshot.WasRouted(p.Flow.Service) {
 		reason = ReasonRouteRemoved
 	}
-	if reason == ReasonRouteRemoved || now.Sub(f.confirmedAt) <= confirmedFor {
+	if reason == ReasonRouteRemoved || now.Sub(f.confirmedAt) <= f.config.ConfirmedFor {
 		return Decision{Verdict: Reset, Reason: reason}
 	}
 	return Decision{Reason: reason}
--- a/io/transport/direct/direct.go
+++ b/io/transport/direct/direct.go
@@ -143,7 +143,10 @@
 		return err
 	}
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	p.forwarder = steering.New(steering.Config{FailureDomain: p.settings.FailureDomain, FlowAge: p.settings.FlowAge}, p.metrics, random)
+	p.forwarder = steering.New(steering.Config{
+		FailureDomain: p.settings.FailureDomain, FlowAge: p.settings.FlowAge,
+		ConfirmedFor: p.limits(p.settings.ApplyLimit).Configuration,
+	}, p.metrics, random)
 	if err = joinPeers(p); err != nil {
 		return err
 	}
--- a/io/transport/direct/reader.go
+++ b/io/transport/direct/reader.go
@@ -72,7 +72,10 @@
 		interval := time.Duration(readIntervalShare * float64(p.applyLimit()))
 		isDue := func() bool { return p.peers.plan.ReadsConfiguration(p.adapters.Clock.Now()) }
 		isRetry := failures > 0 && !p.isComplete.Load()
-		if !isRetry && !p.configurationRequest.take() && !p.withLock(isDue) {
+		// While the store does not answer, a packet to an unknown route is no reason to call it again.
+		isRequested := p.configurationRequest.take() && failures == 0
+		if !isRetry && !isRequested && !p.withLock(isDue) {
+			failures = 0
 			if !p.pause(idlePause, p.configurationRequest.wakeup) {
 				return
 			}
@@ -190,7 +193,9 @@
 	isFresh := false  // the first list may be stale: the watch that follows returns the missing changes
 	for {
 		isDue := func() bool { return p.peers.plan.ReadsEndpoints(p.adapters.Clock.Now()) }
-		if isListed && !p.endpointsRequest.take() && !p.withLock(isDue) {
+		isRequested := p.endpointsRequest.take() && failures == 0
+		if isListed && !isRequested && !p.withLock(isDue) {
+			failures = 0
 			if !p.pause(idlePause, p.endpointsRequest.wakeup) {
 				return
 			}
--- a/io/transport/direct/reload.go
+++ b/io/transport/direct/reload.go
@@ -19,7 +19,9 @@
 	}
 	if old.ApplyLimit != s.ApplyLimit {
 		changed = append(changed, "apply_limit")
-		p.peers.plan.SetLimits(p.limits(s.ApplyLimit))
+		limits := p.limits(s.ApplyLimit)
+		p.peers.plan.SetLimits(limits)
+		p.forwarder.SetConfirmedFor(limits.Configuration)
 	}
 	if old.DrainLimit != s.DrainLimit {
 		changed = append(changed, "drain_limit")
