Wait longer for an unavailable store the lower the rank

Cause: while the store does not answer, each balancer takes over the reads of its failure domain and calls it four times in the first second and a half, and once a second from then on.

Change: the first wait of a balancer that is complete grows with its rank, and those that are not among the first four of a failure domain wait up to 3 s. One that starts waits as before.

--- a/core/coordination/spread/spread.go
+++ b/core/coordination/spread/spread.go
@@ -127,6 +127,27 @@
 	return min(time.Duration(max(p.rank-1, 0))*rankDelay, maxRankDelay)
 }
 
+const (
+	// firstRetryDelay is the wait of the reader after a failed call to the store; it doubles with each further one up to
+	// maxRetryDelay.
+	firstRetryDelay = 100 * time.Millisecond
+	maxRetryDelay   = time.Second
+	// candidates is the number of balancers that call an unavailable store as often as the reader. The others need the
+	// result of one of them only; without a bound, a store that returns is met by calls in proportion to the balancers.
+	candidates = 4
+	// maxRetryFactor bounds the factor by which the waits of the others are longer. It leaves them an attempt within the
+	// limit for applying a configuration in case the store refuses all candidates.
+	maxRetryFactor = 3
+)
+
+// RetryDelay returns how long this balancer waits after a number of failed calls to the store in a row.
+func (p *Plan) RetryDelay(failures int) time.Duration {
+	rank := max(p.rank, 0)
+	first := min(firstRetryDelay*time.Duration(1+rank), maxRetryDelay)
+	limit := maxRetryDelay * time.Duration(min(max(rank/candidates, 1), maxRetryFactor))
+	return min(first<<min(max(failures-1, 0), 8), limit)
+}
+
 // ConfirmConfiguration records that the known configuration was the newest at the given time.
 func (p *Plan) ConfirmConfiguration(at time.Time) { p.configuration.confirm(at) }
 
--- a/core/coordination/spread/spread_test.go
+++ b/core/coordination/spread/spread_test.go
@@ -134,6 +134,41 @@
 	is.True(!second.ReadsConfiguration(now))
 }
 
+// TestOutageInLargeDomain guards against calls to an unavailable store in proportion to the balancers of a failure domain:
+// all of them need the answer, and one of them announces it to the others.
+func TestOutageInLargeDomain(t *testing.T) {
+	const outage = 6 * time.Second
+	tests := map[string]struct {
+		balancers int
+		most      int // calls of the failure domain during the outage, besides one of each balancer
+	}{
+		"3 balancers":   {balancers: 3, most: 3 * 10},
+		"24 balancers":  {balancers: 24, most: 4*10 + 20*4},
+		"59 balancers":  {balancers: 59, most: 4*10 + 55*3},
+		"700 balancers": {balancers: 700, most: 4*10 + 696*3},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			calls, soonest := 0, outage
+			for _, p := range plans(c.balancers) {
+				failures, at := 0, time.Duration(0)
+				for at < outage {
+					failures++
+					delay := p.RetryDelay(failures)
+					is.True(delay > 0 && delay <= 3*time.Second)
+					at += delay
+					calls++
+				}
+				soonest = min(soonest, at-outage)
+			}
+			t.Logf("%d calls in %v", calls, outage)
+			is.True(calls <= c.balancers+c.most)
+			is.True(soonest <= time.Second) // some balancer notices soon that the store is back
+		})
+	}
+}
+
 // TestStart guards against balancers that all read the store again and again while there is no configuration in it yet.
 func TestStart(t *testing.T) {
 	is := is.New(t)
--- a/io/transport/direct/reader.go
+++ b/io/transport/direct/reader.go
@@ -22,7 +22,7 @@
 	// watchWait is how long a watch waits for changes. It also bounds the time until a connection that went silent is
 	// noticed.
 	watchWait = 2 * time.Second
-	// firstBackoff is the wait after a failed call; it doubles with each further one up to maxBackoff.
+	// firstBackoff is the wait after a failed call at the start; it doubles with each further one up to maxBackoff.
 	firstBackoff = 100 * time.Millisecond
 	maxBackoff   = time.Second
 	// minReadInterval is the least time between a successful read of the configuration and the next one, which bounds
@@ -96,7 +96,7 @@
 			continue
 		case err != nil:
 			failures++
-			if !p.pause(backoff(failures), nil) {
+			if !p.pause(p.retryDelay(failures), nil) {
 				return
 			}
 			continue
@@ -219,7 +219,7 @@
 			isListed, isFresh = false, true
 		case err != nil:
 			failures++
-			if !p.pause(backoff(failures), nil) {
+			if !p.pause(p.retryDelay(failures), nil) {
 				return
 			}
 		default:
@@ -391,9 +391,16 @@
 	return p.ctx.Err() == nil
 }
 
-// backoff returns the wait after a number of failed calls in a row.
-func backoff(failures int) time.Duration {
-	return jitter(min(firstBackoff<<min(failures-1, 8), maxBackoff))
+// retryDelay returns the wait after a number of failed calls to the store in a row. A balancer that is not complete yet
+// waits no longer than a reader.
+func (p *Process) retryDelay(failures int) time.Duration {
+	delay := min(firstBackoff<<min(failures-1, 8), maxBackoff)
+	if p.isComplete.Load() {
+		p.mu.Lock()
+		delay = p.peers.plan.RetryDelay(failures)
+		p.mu.Unlock()
+	}
+	return jitter(delay)
 }
 
 // jitter changes a wait at random by up to a tenth, so that balancers which started together do not call together.
