--- a/core/coordination/balancer/measure_test.go
+++ b/core/coordination/balancer/measure_test.go
@@ -90,6 +90,7 @@
 
 // Runs with the same seed must be identical: otherwise the seed in a failure report does not reproduce the failure.
 func TestRunsRepeat(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	var first []int
 	for range 3 {
@@ -108,6 +109,7 @@
 // testTargets runs the named measurements in the owner mode for each deployment. It checks the figures whose names end
 // with suffix.
 func testTargets(t *testing.T, suffix string, names ...string) {
+	t.Parallel()
 	for _, d := range deployments {
 		for _, name := range names {
 			t.Run(d.name+"/"+name, func(t *testing.T) {
