Send no flow of an overloaded domain to a suspect endpoint

Cause: domains are compared by sums that may be some milliseconds old.

Change: a suspect candidate of another domain is used only if the own one has nothing better.

--- a/core/coordination/steering/choice.go
+++ b/core/coordination/steering/choice.go
@@ -141,8 +141,8 @@
 	if cost >= suspectPenalty {
 		candidate, cost = f.cheapestElsewhere(now, s, candidate, cost, excluded)
 	}
-	if best != nil && cost >= lowest && lowest >= suspectPenalty {
-		return best // neither domain has an endpoint that is not suspect
+	if best != nil && cost >= max(lowest, suspectPenalty) {
+		return best // no other domain has an endpoint that is not suspect
 	}
 	return candidate
 }
--- a/core/coordination/steering/spill_test.go
+++ b/core/coordination/steering/spill_test.go
@@ -137,3 +137,30 @@
 		is.Equal(w.openEstablished(t).endpoint.FailureDomain, "attiki-1")
 	}
 }
+
+// TestBurstBesideSuspects guards against flows that an overloaded failure domain sends to suspect endpoints of another one,
+// because they were not suspect a moment ago.
+func TestBurstBesideSuspects(t *testing.T) {
+	is := is.New(t)
+	w := newSpillHarness()
+	w.ApplyReport(w.now, &steering.Report{Sender: 7, Loads: []steering.EndpointLoad{
+		{Cookie: directory.Cookie("i-1", 0), Flows: 90}, {Cookie: directory.Cookie("i-2", 0), Flows: 90},
+	}}, ownDomain)
+	w.reportOtherDomain(1)
+	is.Equal(w.openEstablished(t).endpoint.FailureDomain, "attiki-2")
+	w.advance(2 * time.Second)
+	w.reportOtherDomain(1)
+	is.Equal(w.openEstablished(t).endpoint.FailureDomain, "attiki-2")
+	w.now = w.now.Add(reportAfterProgress)
+	_, _ = w.open(feedAddress) // the sums are new
+	w.ApplyReport(w.now, &steering.Report{Sender: 7, IsPartial: true, Silences: []uint32{
+		directory.Cookie("i-3", 0), directory.Cookie("i-4", 0),
+	}}, ownDomain)
+	for range 10 {
+		_, d := w.open(feedAddress)
+		is.Equal(d.Endpoint.FailureDomain, "attiki-1")
+	}
+}
+
+// reportAfterProgress is longer than the time for which an endpoint's progress outweighs the report of another balancer.
+const reportAfterProgress = 1600 * time.Millisecond
