Take back the avoidance of endpoints that did not confirm a client's flows

Where flows are confirmed later than 2 ms, as on a loaded host or over longer links, each new flow of such an address avoided the endpoints of the last two, also in favour of suspect and failing ones.

Ruled out: the load alone.

--- a/core/coordination/steering/choice.go
+++ b/core/coordination/steering/choice.go
@@ -117,16 +117,11 @@
 	}
 }
 
-// exclusions are up to two endpoints that get a new flow only if there is no other.
-type exclusions [2]*endpointState
-
-func (x *exclusions) contains(v *endpointState) bool { return v == x[0] || v == x[1] }
-
-// choose returns the endpoint for a new flow of a service, or nil. It returns an excluded endpoint only if there is no
+// choose returns the endpoint for a new flow of a service, or nil. It returns the excluded endpoint only if there is no
 // other. The own failure domain is preferred, unless it is clearly more loaded as a whole than another one. The time it
 // takes does not depend on the number of endpoints, except that all of a failure domain are compared while those that it
 // looks at first are suspect.
-func (f *Forwarder) choose(now time.Time, name string, excluded exclusions) *endpointState {
+func (f *Forwarder) choose(now time.Time, name string, excluded *endpointState) *endpointState {
 	s := f.serviceNamed(now, name)
 	var best *endpointState
 	lowest := 0.0
@@ -138,33 +133,12 @@
 		return best
 	}
 	candidate, cost := f.cheapest(now, s, other, otherDomainChoices, excluded)
-	if cost >= suspectPenalty {
-		candidate, cost = f.cheapestElsewhere(now, s, candidate, cost, excluded)
-	}
 	if best != nil && cost >= max(lowest, suspectPenalty) {
-		return best // no other domain has an endpoint that is not suspect
+		return best // the other domain has no endpoint that is not suspect
 	}
 	return candidate
 }
 
-// cheapestElsewhere returns the endpoint of another failure domain with the lowest cost, if that is lower than the cost of
-// a candidate, and otherwise the candidate.
-func (f *Forwarder) cheapestElsewhere(now time.Time, s *service, candidate *endpointState, cost float64, excluded exclusions) (*endpointState, float64) {
-	for _, g := range s.groups {
-		if g == s.own {
-			continue
-		}
-		penalty := 0.0
-		if !g.domain.isEligible(now) {
-			penalty = suspectPenalty
-		}
-		if v, c := f.cheapest(now, s, g, otherDomainChoices, excluded); c+penalty < cost {
-			candidate, cost = v, c+penalty
-		}
-	}
-	return candidate, cost
-}
-
 // choices returns the number of endpoints of the own failure domain that are compared for a new flow: all of a few. Many
 // balancers that compare all of many would choose the same one, since they know of each other's choices by reports that
 // are up to some seconds old.
@@ -178,7 +152,7 @@
 
 // cheapest returns the endpoint with the lowest cost of a number of random ones, with its cost. If all of these are
 // suspect, it compares all endpoints of the group.
-func (f *Forwarder) cheapest(now time.Time, s *service, g *group, choices int, excluded exclusions) (*endpointState, float64) {
+func (f *Forwarder) cheapest(now time.Time, s *service, g *group, choices int, excluded *endpointState) (*endpointState, float64) {
 	n := len(g.endpoints)
 	var best *endpointState
 	lowest := 0.0
@@ -203,7 +177,7 @@
 
 // cost returns the cost of placing a new flow on an endpoint: the load that it would have, increased if it is suspect or
 // fails requests.
-func (f *Forwarder) cost(now time.Time, s *service, v *endpointState, excluded exclusions) float64 {
+func (f *Forwarder) cost(now time.Time, s *service, v, excluded *endpointState) float64 {
 	f.suspectUnconfirmed(now, v)
 	reporters := f.domainOf(f.config.FailureDomain).reporters
 	cost := v.load(now, reporters) + tieBreakNoise*f.random.Float64()/float64(max(v.endpoint.Slots, 1))
@@ -214,7 +188,7 @@
 	if !v.isEligible(now) {
 		cost += suspectPenalty * float64(1+v.failures)
 	}
-	if excluded.contains(v) {
+	if v == excluded {
 		cost += suspectPenalty * suspectPenalty
 	}
 	return cost
--- a/core/coordination/steering/flow.go
+++ b/core/coordination/steering/flow.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/binary"
-	"net/netip"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -22,9 +21,6 @@
 	// acceptTime is the time in which a healthy endpoint accepts one of two flows and the client's next packet arrives:
 	// several of the longest round trips between failure domains, which take some 10 ms.
 	acceptTime = 40 * time.Millisecond
-	// minConfirmTime is the least time after which a client's next opening packet shows that an earlier flow was not
-	// confirmed: the shortest round trip. Clients also open several flows at the same moment.
-	minConfirmTime = 2 * time.Millisecond
 	// refusedTime is the time after which an opening packet counts as refused if neither a retransmission nor another
 	// packet of the client has arrived: a client without an answer of the endpoint retransmits after 200 ms.
 	refusedTime = 350 * time.Millisecond
@@ -55,8 +51,7 @@
 	sentEnd            uint32    // sequence number after the last data sent; valid if hasSent
 	hasSent            bool
 
-	avoided  *endpointState // did not confirm the client's flow before this one in time; nil if there is none
-	isFormer bool           // opened before the endpoint restarted; says nothing about its present incarnation
+	isFormer bool // opened before the endpoint restarted; says nothing about its present incarnation
 }
 
 // fraction hashes a flow to a number in [0, 1).
@@ -93,29 +88,8 @@
 	return nil, true
 }
 
-// clientKey identifies the flows of one client to one service address.
-type clientKey struct {
-	client  netip.Addr
-	service netip.AddrPort
-}
-
-// unconfirmedOf returns the endpoints of the last two flows that the client of an opening packet has tried to open here, if
-// it has not confirmed them after the time of a round trip. Most likely the endpoints have refused them, and the client
-// tries again at once, with one of the few tries that it has.
-func (f *Forwarder) unconfirmedOf(now time.Time, p *Packet) exclusions {
-	w := f.lastOpenings[clientKey{client: p.Flow.Client.Addr(), service: p.Flow.Service}]
-	if w == nil || !w.isOpening || w.endpointState == nil {
-		return exclusions{}
-	}
-	if age := now.Sub(w.openedAt); age < minConfirmTime || age > refusedTime {
-		return exclusions{}
-	}
-	return exclusions{w.endpointState, w.avoided}
-}
-
-// trackOpening records the opening packet of a flow, unless MaxFlows flows are tracked already. avoided is an endpoint
-// that did not confirm an earlier flow of the client, or nil.
-func (f *Forwarder) trackOpening(now time.Time, p *Packet, v, avoided *endpointState) {
+// trackOpening records the opening packet of a flow, unless MaxFlows flows are tracked already.
+func (f *Forwarder) trackOpening(now time.Time, p *Packet, v *endpointState) {
 	w := f.flows[p.Flow]
 	if w == nil {
 		if len(f.flows) >= f.config.MaxFlows {
@@ -126,8 +100,7 @@
 	}
 	if w.endpointState != v || !w.isOpening {
 		f.detach(w)
-		*w = flow{endpointState: v, isOpening: true, openedAt: now, sequence: p.Sequence, avoided: avoided}
-		f.lastOpenings[clientKey{client: p.Flow.Client.Addr(), service: p.Flow.Service}] = w
+		*w = flow{endpointState: v, isOpening: true, openedAt: now, sequence: p.Sequence}
 		v.flows++
 		v.openingFlows++
 		v.recentlyPlaced++
@@ -307,11 +280,6 @@
 	if f.snapshot != nil && f.snapshot.Configuration.IdleTimeout > 0 {
 		idle = f.snapshot.Configuration.IdleTimeout
 	}
-	for k, w := range f.lastOpenings {
-		if !w.isOpening || now.Sub(w.openedAt) > refusedTime {
-			delete(f.lastOpenings, k)
-		}
-	}
 	for k, w := range f.flows {
 		limit := idle
 		if w.isOpening {
--- a/core/coordination/steering/outcome_test.go
+++ b/core/coordination/steering/outcome_test.go
@@ -303,3 +303,16 @@
 	c.run(5*time.Second, 0)
 	is.Equal(c.balancers[0].PendingRequests(), 0)
 }
+
+// TestClientsBehindOneAddress guards against flows that go to a suspect endpoint because an earlier flow of the same client
+// address is not confirmed yet: many clients may share an address, and a loaded host confirms late.
+func TestClientsBehindOneAddress(t *testing.T) {
+	is := is.New(t)
+	w := newHarness(endpoint("i-1", "attiki-1"), endpoint("i-2", "attiki-1"))
+	w.ApplyReport(w.now, &steering.Report{Sender: 7, IsPartial: true, Silences: []uint32{directory.Cookie("i-2", 0)}}, ownDomain)
+	for range 4 {
+		w.now = w.now.Add(3 * time.Millisecond)
+		_, d := w.open(feedAddress)
+		is.Equal(d.Endpoint.ID, "i-1")
+	}
+}
--- a/core/coordination/steering/steering.go
+++ b/core/coordination/steering/steering.go
@@ -92,7 +92,7 @@
 	Endpoint       *directory.Endpoint // set for Forward
 	Cookie         uint32              // to write into the packet, for Forward
 	Load           float64             // flows per slot of the endpoint; set when an opening packet is forwarded
-	SilentEndpoint *directory.Endpoint // did not confirm an earlier opening packet of this client; nil if there is none
+	SilentEndpoint *directory.Endpoint // did not answer an earlier copy of this opening packet; nil if there is none
 
 	Version    uint64        // of the configuration in force
 	VersionAge time.Duration // since it was last known to be the newest
@@ -128,7 +128,6 @@
 	byCookie       map[uint32]*endpointState   // by Cookie(ID, 0)
 	silentStates   map[*endpointState]struct{} // at least those with silentFlows or a recent refusal; a tick removes the others
 	flows          map[FlowKey]*flow
-	lastOpenings   map[clientKey]*flow // latest flow that a client has opened; a tick removes the confirmed ones
 	reports        map[member.Incarnation]receivedReport
 	domains        map[string]*domain
 	services       map[string]*service // by name; built when first used, discarded with the snapshot
@@ -152,7 +151,7 @@
 	return &Forwarder{
 		config: c, recorder: r, random: random,
 		endpointStates: make(map[string]*endpointState), silentStates: make(map[*endpointState]struct{}),
-		flows: make(map[FlowKey]*flow), lastOpenings: make(map[clientKey]*flow), reports: make(map[member.Incarnation]receivedReport),
+		flows: make(map[FlowKey]*flow), reports: make(map[member.Incarnation]receivedReport),
 		domains: make(map[string]*domain), services: make(map[string]*service), outcomes: newOutcomes(),
 	}
 }
@@ -246,13 +245,11 @@
 	if route == nil {
 		return f.missingRoute(now, p)
 	}
-	var excluded exclusions
+	var excluded *endpointState
 	v, isRepeated := f.retransmittedOpening(now, p)
 	if v == nil {
 		if isRepeated {
-			excluded[0] = f.flows[p.Flow].endpointState
-		} else {
-			excluded = f.unconfirmedOf(now, p)
+			excluded = f.flows[p.Flow].endpointState
 		}
 		v = f.choose(now, f.serviceOf(route, p.Flow), excluded)
 	}
@@ -260,10 +257,10 @@
 		f.forget(p.Flow)
 		return Decision{Verdict: Reset, Reason: ReasonNoEndpoint}
 	}
-	f.trackOpening(now, p, v, excluded[0])
+	f.trackOpening(now, p, v)
 	d := Decision{Verdict: Forward, Endpoint: v.endpoint, Cookie: v.cookie, Load: v.flowsPerSlot()}
-	if excluded[0] != nil && !excluded.contains(v) {
-		d.SilentEndpoint = excluded[0].endpoint
+	if excluded != nil && excluded != v {
+		d.SilentEndpoint = excluded.endpoint
 	}
 	return d
 }
