--- a/review/testdata/scene/main.go
+++ b/review/testdata/scene/main.go
@@ -34,7 +34,7 @@
 	version            uint64
 	hasEnded           atomic.Bool
 	hasTrouble         bool
-	isZoneQuiet        bool // clients of the first zone open no long flows
+	isZoneQuiet        bool // clients of the first zone open no long flows of their own, and more short ones
 
 	mu     sync.Mutex
 	began  time.Time
@@ -196,10 +196,12 @@
 	}
 	s.note("%d balancers are ready, %d endpoints", len(s.balancers), len(s.endpoints))
 	for i, c := range s.clients {
-		go c.render(s.render, 10)
-		if i > 0 || !s.isZoneQuiet {
-			c.feed(s.feed, 18)
+		if i == 0 && s.isZoneQuiet {
+			go c.render(s.render, 40)
+			continue
 		}
+		go c.render(s.render, 10)
+		c.feed(s.feed, 18)
 	}
 	time.Sleep(touchTime + time.Second)
 	return nil
@@ -251,13 +253,19 @@
 	return nil
 }
 
-// summarize notes what clients have seen and what the endpoints have run.
+// summarize notes how the requests of the clients ended, and writes each request and each run to the record.
 func (s *scene) summarize() {
+	s.hasEnded.Store(true)
+	var lines []string
 	for _, c := range s.clients {
 		c.mu.Lock()
 		outcomes := map[string]int{}
 		for _, a := range c.attempts {
 			outcomes[a.outcome]++
+			if a.outcome == "200" && a.answerer != s.serviceOf(a.route) {
+				s.note("%s, sent to %s, is answered by %s", a.id, a.route, a.answerer)
+			}
+			lines = append(lines, fmt.Sprintf("sent %8.3f  %s to %s: %s %s", a.sent.Sub(s.began).Seconds(), a.id, a.route, a.outcome, a.answerer))
 		}
 		s.note("clients of %s: %d requests, by outcome %v; %d packets forged", c.zone, len(c.attempts), outcomes, c.forged)
 		c.mu.Unlock()
@@ -266,8 +274,23 @@
 		e.mu.Lock()
 		s.note("endpoint %s of %s in %s: %d openings, %d requests run, %d packets of unknown flows, %d forged", e.id, e.service,
 			e.zone, len(e.openings), len(e.runs), e.resets, e.forged)
+		for _, r := range e.runs {
+			_, id, _ := strings.Cut(r.request, "Request-Id: ")
+			id, _, _ = strings.Cut(id, "\r")
+			lines = append(lines, fmt.Sprintf("run  %8.3f  %s at %s of %s", r.at.Sub(s.began).Seconds(), id, e.id, e.service))
+		}
 		e.mu.Unlock()
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, _ = s.record.WriteString(strings.Join(lines, "\n") + "\n")
+}
+
+func (s *scene) serviceOf(route netip.AddrPort) string {
+	if route == s.render {
+		return serviceRender
+	}
+	return serviceFeed
 }
 
 func (s *scene) close() {
