Reset flows only if the host of their endpoint does not answer

Cause: three flows of one balancer without progress for 0.5 s counted as the death of their endpoint. A balancer sees the clients' packets only. A request of one packet is acknowledged with its answer, so a queue that holds requests for longer than 0.5 s looks like a host without power.

Evidence: in the logs of the case the balancer with the three flows says "endpoint dead" while another one says "endpoint answers again" 0.1 s before and after. Ruled out: a longer limit (the queue may hold a request for over a second, clients give up after 0.8 to 1.2 s), and progress that other balancers report (a burst through one balancer has none to report).

Change: as soon as a flow is silent, the balancer tries to connect to the endpoint, three times within 0.2 s. A living host accepts or refuses whatever the queue holds; only silence on all attempts lets the former evidence reset flows, on all three paths. An endpoint that is gone and whose address another one has taken over needs no attempt. Probes are requested by the core, bounded, logged and counted.

The stand-in's silent endpoint now has a dark host.

--- a/core/coordination/steering/dead.go
+++ b/core/coordination/steering/dead.go
@@ -11,8 +11,8 @@
 	// as dead. One or two may have lost packets: at a loss of 0.2 % in both directions, three at a time have a
 	// probability of one in 10^8.
 	minSilentFlows = 3
-	// minSilence is the time that must have passed since the first of these data was sent. A fully loaded endpoint
-	// takes up to 300 ms for a request, and clients give up a request after 800 ms.
+	// minSilence is the time that must have passed since the first of these data was sent. Most requests on a loaded
+	// endpoint take less, and clients give up a request after 800 ms.
 	minSilence = 500 * time.Millisecond
 	// othersProgressTime is the time within which another endpoint must have made progress, later than answerTime after
 	// those data were sent. Otherwise this balancer itself may be cut off.
@@ -61,9 +61,11 @@
 // whose flow is reset can reconnect to another endpoint before its deadline. Only what this balancer has observed
 // counts, and only since the last gap in the progress of all endpoints: when links are congested, several balancers
 // lose packets of a few flows each, and one balancer receives the answers of some endpoints before those of others. If
-// the registration of the endpoint has lapsed, or its failure domain is cut off, one flow is enough.
+// the registration of the endpoint has lapsed, or its failure domain is cut off, one flow is enough. Silence alone never
+// is: the requests of a burst wait in the queue of a living endpoint for longer than minSilence, which looks the same to
+// the balancer. So a probe must have shown that its host does not answer.
 func (f *Forwarder) isDead(now time.Time, v *endpointState) bool {
-	if !f.isSilent(now, v) || now.Sub(v.silentSince) < minSilence {
+	if !f.isSilent(now, v) || now.Sub(v.silentSince) < minSilence || !f.isUnreachable(now, v) {
 		return false
 	}
 	if v.hasLapsed() {
@@ -178,6 +180,7 @@
 		if v.waitingFlows > 0 && f.isDead(now, v) {
 			dead = append(dead, v)
 		}
+		f.requestProbe(now, v)
 	}
 	if len(dead) == 0 {
 		return
--- a/core/coordination/steering/endpoint.go
+++ b/core/coordination/steering/endpoint.go
@@ -30,13 +30,15 @@
 	waitingFlows   int     // flows with unanswered data
 	progressAt     time.Time
 	suspicion
-	silentFlows int       // flows that have sent data again without an answer since the last progress
-	silentSince time.Time // when the first of these data was sent, or sent again after a gap
-	silentGap   uint32    // number of gaps in the progress of all endpoints when they were counted
-	silentAt    time.Time // when such data was last sent again
-	refusedAt   time.Time // when the endpoint last refused an opening packet
-	unconfirmed openings  // since the last progress or failure
-	lastReport  uint64    // number of the last report that listed the endpoint as unresponsive
+	silentFlows  int           // flows that have sent data again without an answer since the last progress
+	silentSince  time.Time     // when the first of these data was sent, or sent again after a gap
+	silentGap    uint32        // number of gaps in the progress of all endpoints when they were counted
+	silentAt     time.Time     // when such data was last sent again
+	refusedAt    time.Time     // when the endpoint last refused an opening packet
+	unconfirmed  openings      // since the last progress or failure
+	reachability *reachability // nil until the first probe
+	isReplaced   bool          // gone, and another endpoint has started at its address since
+	lastReport   uint64        // number of the last report that listed the endpoint as unresponsive
 
 	observed   evidence // requests evaluated by this balancer
 	reported   evidence // requests reported by other balancers of the failure domain
@@ -55,7 +57,7 @@
 	for v := range restarted {
 		cookies[directory.Cookie(v.endpoint.ID, 0)] = true
 		v.progressAt, v.refusedAt, v.suspicion, v.silentFlows = time.Time{}, time.Time{}, suspicion{}, 0
-		v.unconfirmed = openings{}
+		v.unconfirmed, v.reachability = openings{}, nil
 		v.observed, v.evidence, v.penalty = evidence{}, evidence{}, 0
 		delete(f.withEvidence, v)
 		if v.isDegraded {
@@ -84,6 +86,7 @@
 	EndpointSuspect = "endpoint suspect"
 	EndpointDead    = "endpoint dead"
 	EndpointAnswers = "endpoint answers again"
+	EndpointProbed  = "endpoint probed"
 
 	EndpointDegraded  = "endpoint fails requests"
 	EndpointRecovered = "endpoint has recovered"
@@ -93,9 +96,9 @@
 type HealthEvent struct {
 	Event    string        // one of the constants above
 	Endpoint string        // ID
-	Failures int           // consecutive failures; flows without an answer if dead, failed requests if degraded
-	For      time.Duration // how long the endpoint is suspect, or for EndpointDead has been silent
-	Cause    string
+	Failures int           // consecutive failures; flows without an answer if dead or probed, failed requests if degraded
+	For      time.Duration // how long the endpoint is suspect, or for EndpointDead and EndpointProbed has been silent
+	Cause    string        // for EndpointProbed, the result of the probe
 }
 
 // maxHealthEvents bounds the events that wait to be logged; further ones are dropped.
--- a/core/coordination/steering/flow.go
+++ b/core/coordination/steering/flow.go
@@ -211,6 +211,7 @@
 		}
 		w.unansweredSince, w.sequence = now, p.Sequence
 		v.waitingFlows++
+		f.requestProbe(now, v)
 		f.trackRequest(now, p.Flow.Service, w)
 		return
 	}
@@ -244,6 +245,7 @@
 	v.silentFlows++
 	f.silentStates[v] = struct{}{}
 	f.recordFailure(now, w.unansweredSince, v, "data not answered")
+	f.requestProbe(now, v)
 }
 
 // answerReceived records that the flow's unanswered data has been answered.
--- a/core/coordination/steering/steering.go
+++ b/core/coordination/steering/steering.go
@@ -14,7 +14,7 @@
 // an acknowledgment of new data, show that the endpoint answers; the comments call this progress. An endpoint that has
 // failed and made no progress since is suspect for a time that doubles with each failure, and meanwhile gets new flows
 // only if no other endpoint is left. After that time it is probed with one flow at a time. Open flows are never moved
-// to another endpoint.
+// to another endpoint. They are reset if their endpoint is dead: it is silent, and its host does not answer either.
 //
 // An endpoint may respond and still fail: it answers late, never, or with errors. The amount of data that the client
 // has acknowledged some time after a request shows this. Endpoints that fail clearly more requests than the others of
@@ -27,6 +27,7 @@
 //	f.SetSnapshot(now, snapshot)
 //	d := f.Handle(now, &packet)
 //	f.Tick(now) // about every 100 ms
+//	for _, p := range f.Probes() { ... f.RecordProbe(now, p, result) }
 //
 // A Forwarder starts no goroutine and reads no clock. All methods may be called concurrently.
 package steering
@@ -137,6 +138,8 @@
 	recentProgress progressHistory // the latest progress of any endpoint
 	silenceReports uint64          // number of the last report of unresponsive endpoints
 	resets         []Packet        // of flows whose endpoint is dead, until Resets returns them
+	probes         []Probe         // until Probes returns them
+	probing        int             // number of probes without a result
 	outcomes
 }
 
@@ -186,6 +189,7 @@
 		}
 	}
 	f.resetHealth(restarted)
+	f.markReplaced(s.Endpoints())
 	f.indexCookies()
 	clear(f.services)
 }
--- a/core/coordination/steering/steering_test.go
+++ b/core/coordination/steering/steering_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -42,6 +43,49 @@
 	former    map[netip.AddrPort][]string
 	ports     uint16
 	idle      time.Duration
+
+	answersProbes map[string]bool // IDs of the endpoints whose hosts answer connection attempts; none by default
+	probes        []pendingProbe
+}
+
+// pendingProbe is a probe whose result is recorded at a time.
+type pendingProbe struct {
+	steering.Probe
+	endsAt time.Time
+}
+
+// probeTimeout is the time after which a probe has not been answered.
+const probeTimeout = 200 * time.Millisecond
+
+// Handle passes a packet to the forwarder and begins the probes that follow from it.
+func (w *harness) Handle(now time.Time, p *steering.Packet) steering.Decision {
+	d := w.Forwarder.Handle(now, p)
+	w.beginProbes()
+	return d
+}
+
+func (w *harness) beginProbes() {
+	for _, p := range w.Probes() {
+		timeout := probeTimeout
+		if w.answersProbes[p.Endpoint] {
+			timeout = 0
+		}
+		w.probes = append(w.probes, pendingProbe{p, w.now.Add(timeout)})
+	}
+}
+
+func (w *harness) endProbes() {
+	w.probes = slices.DeleteFunc(w.probes, func(p pendingProbe) bool {
+		if w.now.Before(p.endsAt) {
+			return false
+		}
+		result := steering.ProbeUnanswered
+		if w.answersProbes[p.Endpoint] {
+			result = steering.ProbeAnswered
+		}
+		w.RecordProbe(w.now, p.Probe, result)
+		return true
+	})
 }
 
 func newHarness(endpoints ...*directory.Endpoint) *harness {
@@ -123,7 +167,9 @@
 
 func (w *harness) advance(d time.Duration) {
 	w.now = w.now.Add(d)
+	w.endProbes()
 	w.Tick(w.now)
+	w.beginProbes()
 }
 
 // openEstablished opens a flow and confirms it.
--- a/core/state/metric/metric.go
+++ b/core/state/metric/metric.go
@@ -31,6 +31,7 @@
 	BadEntry    Counter = "bad_entries"      // subject: store entries that are not usable
 	Held        Counter = "packets_held"     // reason: packets that wait for the configuration or the list of endpoints
 	ResetSent   Counter = "resets_sent"      // reason: flows that the balancer reset in the direct return mode
+	Probed      Counter = "endpoint_probes"  // result: probes of silent endpoints in the direct return mode
 )
 
 // Histogram is the name of a duration histogram, recorded per customer and class, or per service in the direct return
--- a/io/transport/direct/direct.go
+++ b/io/transport/direct/direct.go
@@ -17,6 +17,7 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
+	"net"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -74,10 +75,11 @@
 
 // Adapters are the implementations of the interfaces that the process depends on.
 type Adapters struct {
-	Store Store
-	Codec Codec
-	Clock Clock
-	Log   *AsyncWriter // output of the logger, whose count of dropped lines is exported; may be nil
+	Store  Store
+	Codec  Codec
+	Clock  Clock
+	Dialer Dialer       // probes endpoints; a net.Dialer if nil
+	Log    *AsyncWriter // output of the logger, whose count of dropped lines is exported; may be nil
 }
 
 // Process is a running balancer.
@@ -117,6 +119,9 @@
 // Start opens the sockets and starts to read the store. The process is ready once it has a configuration and a list of
 // endpoints.
 func Start(s *Settings, a Adapters, log *slog.Logger) (*Process, error) {
+	if a.Dialer == nil {
+		a.Dialer = &net.Dialer{}
+	}
 	p := &Process{
 		settings: s, adapters: a, log: log, decisions: newDecisionLog(log), loggedFaults: make(map[string]string),
 		configurationRequest: newReadRequest(), endpointsRequest: newReadRequest(),
@@ -216,6 +221,7 @@
 		}
 		p.update(func(now time.Time) { p.forwarder.Tick(now) })
 		p.socket.sendResets()
+		p.startProbes()
 		p.peers.countControlBytes()
 		p.logHealthEvents()
 	}
--- a/io/transport/direct/export_test.go
+++ b/io/transport/direct/export_test.go
@@ -8,3 +8,6 @@
 	defer p.mu.Unlock()
 	return p.peers.plan.Ages(p.adapters.Clock.Now())
 }
+
+// ProbeEndpoint carries out one probe.
+var ProbeEndpoint = probe
--- a/io/transport/direct/socket.go
+++ b/io/transport/direct/socket.go
@@ -98,6 +98,7 @@
 		now := s.process.adapters.Clock.Now()
 		s.lastPacketAt.Store(now.UnixNano())
 		s.send(s.decide(now, n))
+		s.process.startProbes()
 	}
 }
 
--- a/standin/direct/endpoint.go
+++ b/standin/direct/endpoint.go
@@ -28,6 +28,7 @@
 	settings EndpointSettings
 	store    *Store
 	conn     *net.UDPConn
+	host     *host // of the endpoint's process
 	number   uint64
 	entry    map[string]any
 	isSilent atomic.Bool  // drops every packet and sends nothing
@@ -49,15 +50,15 @@
 
 // StartEndpoint starts an endpoint on a free loopback port and registers it.
 func StartEndpoint(s *Store, e EndpointSettings) (*Endpoint, error) {
-	conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	conn, h, err := listenEndpoint()
 	if err != nil {
-		return nil, errors.Wrap(err, "listen for packets")
+		return nil, err
 	}
 	number, err := strconv.ParseUint(e.ID[strings.LastIndex(e.ID, "-")+1:], 16, 64)
 	if err != nil {
 		return nil, errors.Wrap(err, "parse the number at the end of the endpoint ID")
 	}
-	v := &Endpoint{settings: e, store: s, conn: conn, number: number, flows: make(map[string]*endpointFlow)}
+	v := &Endpoint{settings: e, store: s, conn: conn, host: h, number: number, flows: make(map[string]*endpointFlow)}
 	v.entry = map[string]any{
 		"service": e.Service, "address": conn.LocalAddr().String(), "zone": e.FailureDomain, "version": "v1",
 		"max_concurrency": e.Slots, "state": "ready", "cold_remaining_ms": 0, "seq": 1, "born": 1_800_000_000_000,
@@ -66,6 +67,24 @@
 	return v, s.Put("servers", e.ID, v.entry)
 }
 
+// listenEndpoint returns a packet socket and a host that accepts connections at the same port, which is free for both.
+func listenEndpoint() (*net.UDPConn, *host, error) {
+	const attempts = 20
+	var failed error
+	for range attempts {
+		conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+		if err != nil {
+			return nil, nil, errors.Wrap(err, "listen for packets")
+		}
+		h, err := listenHost(conn.LocalAddr().(*net.UDPAddr))
+		if err == nil {
+			return conn, h, nil
+		}
+		_, failed = conn.Close(), err
+	}
+	return nil, nil, failed
+}
+
 // Drain registers the endpoint as draining. It still serves requests.
 func (e *Endpoint) Drain() error {
 	e.entry["state"] = "draining"
@@ -75,10 +94,14 @@
 // Remove deletes the entry of the endpoint from the store.
 func (e *Endpoint) Remove() { e.store.Delete("servers", e.settings.ID) }
 
-// SetSilent makes the endpoint drop every packet and send nothing, or ends that.
-func (e *Endpoint) SetSilent(isSilent bool) { e.isSilent.Store(isSilent) }
+// SetSilent makes the endpoint and its host drop everything and send nothing, as after a loss of power, or ends that.
+func (e *Endpoint) SetSilent(isSilent bool) error {
+	e.isSilent.Store(isSilent)
+	return e.host.setDark(isSilent)
+}
 
-// SetDelay sets the time between a request and its answer. The data of a request is acknowledged at once.
+// SetDelay sets the time between a request and its answer. Until then, only data that arrives again is acknowledged: an
+// endpoint acknowledges every second packet.
 func (e *Endpoint) SetDelay(d time.Duration) { e.delay.Store(int64(d)) }
 
 // Forged returns the number of packets that were malformed or whose checksum did not match.
@@ -88,7 +111,10 @@
 func (e *Endpoint) Opened() int64 { return e.opened.Load() }
 
 // Close stops the endpoint. Its entry stays in the store.
-func (e *Endpoint) Close() { _ = e.conn.Close() }
+func (e *Endpoint) Close() {
+	_ = e.conn.Close()
+	e.host.close()
+}
 
 func (e *Endpoint) run() {
 	b := make([]byte, 2048)
@@ -154,7 +180,6 @@
 		return
 	}
 	f.isAnswerPending = true
-	e.send(&p, f, flagAck, nil)
 	time.AfterFunc(delay, func() {
 		e.mu.Lock()
 		defer e.mu.Unlock()
--- a/test/process/direct_test.go
+++ b/test/process/direct_test.go
@@ -342,7 +342,7 @@
 	load := f.startLoad(manyFlows)
 	time.Sleep(time.Second)
 	load.MarkLost(directory.Cookie("i-f0", 0))
-	f.endpoints["i-f0"].SetSilent(true)
+	is.NoErr(f.endpoints["i-f0"].SetSilent(true))
 	time.Sleep(4 * time.Second)
 	r := load.Stop()
 	f.checkResult(r)
--- a/test/process/soak_test.go
+++ b/test/process/soak_test.go
@@ -276,6 +276,11 @@
 	id := []string{"i-f2", "i-f3"}[s.random.IntN(2)]
 	e := s.endpoints[id]
 	s.load.MarkLost(directory.Cookie(id, 0))
-	e.SetSilent(true)
-	return fmt.Sprintf("%s for %v", id, s.afterRandomTime(func() { e.SetSilent(false) }))
+	setSilent := func(isSilent bool) {
+		if err := e.SetSilent(isSilent); err != nil {
+			s.t.Error(err)
+		}
+	}
+	setSilent(true)
+	return fmt.Sprintf("%s for %v", id, s.afterRandomTime(func() { setSilent(false) }))
 }
