Follow the endpoints by linearizable watches

Cause: the watches of the endpoints carried serializable=1, so that the store may answer them with data that is seconds old. The time of the reply counted as the age of the list, here and, by announcements, at all balancers of the failure domain, so that none of them read the store itself.

Evidence: on the traced run each line "endpoint registered is_leaving=true" comes 5.4 s after the acknowledgement, on the reader too, while the age of the endpoints stays below 2 s.

Change: these watches are linearizable, as the reads of the configuration are. Each now costs ten times as much, so changes within 0.07 of drain_ms are read together; the platform's drain_ms is a setting of the process for that.

--- a/io/transport/direct/direct.go
+++ b/io/transport/direct/direct.go
@@ -42,6 +42,7 @@
 	PeerAddress     netip.AddrPort   // UDP and TCP, other balancers; if invalid, the process contacts none
 	Peers           []netip.AddrPort // peer addresses of some other balancers, possibly outdated
 	ApplyLimit      time.Duration    // within which a new configuration must take effect; 0 selects a default
+	LeaveLimit      time.Duration    // within which endpoints that leave must get no new flows; 0 selects a default
 	DrainLimit      time.Duration    // from the signal to the forced end of the process
 	FlowAge         time.Duration    // longest life of a flow
 }
@@ -63,7 +64,7 @@
 	// Endpoints lists all endpoints, with the revision of the list. If isFresh is false, the list may be seconds old.
 	Endpoints(ctx context.Context, isFresh bool) ([]directory.Endpoint, uint64, []Fault, error)
 	// WatchEndpoints waits for changes after a revision, at most for wait, and returns them with the revision to
-	// continue from. The error is a *HistoryGoneError if the store no longer has all changes after that revision.
+	// continue from. The reply holds all changes that the store had acknowledged when the call began. The error is a *HistoryGoneError if the store no longer has all changes after that revision.
 	WatchEndpoints(ctx context.Context, after uint64, wait time.Duration) ([]discovery.Change, uint64, []Fault, error)
 }
 
--- a/io/transport/direct/direct_test.go
+++ b/io/transport/direct/direct_test.go
@@ -23,6 +23,8 @@
 // store is a store whose replies the test sets.
 type store struct {
 	configurations atomic.Int32 // number of reads of the configuration
+	watches        atomic.Int32 // number of watches of the endpoints
+	isBusy         bool         // each watch returns a change at once
 	configuration  func() (*directory.Configuration, []direct.Fault, error)
 	endpoints      func(ctx context.Context) ([]directory.Endpoint, uint64, []direct.Fault, error)
 }
@@ -36,9 +38,13 @@
 	return s.endpoints(ctx)
 }
 
-func (*store) WatchEndpoints(ctx context.Context, after uint64, wait time.Duration) (
+func (s *store) WatchEndpoints(ctx context.Context, after uint64, wait time.Duration) (
 	[]discovery.Change, uint64, []direct.Fault, error,
 ) {
+	s.watches.Add(1)
+	if s.isBusy {
+		return []discovery.Change{{ID: "i-1", Revision: after + 1}}, after + 1, nil, nil
+	}
 	select {
 	case <-ctx.Done():
 	case <-time.After(wait):
@@ -162,6 +168,23 @@
 	}
 }
 
+// TestChangesAreReadTogether guards against a call of the store for each of many changes in quick succession, as endpoints
+// make them that start together.
+func TestChangesAreReadTogether(t *testing.T) {
+	is := is.New(t)
+	s := &store{isBusy: true, endpoints: func(context.Context) ([]directory.Endpoint, uint64, []direct.Fault, error) {
+		return nil, 3, nil, nil
+	}}
+	s.configuration = func() (*directory.Configuration, []direct.Fault, error) {
+		return &directory.Configuration{Version: 7}, nil, nil
+	}
+	began := time.Now()
+	start(t, s)
+	eventually(t, "some watches", func() bool { return s.watches.Load() >= 5 })
+	calls, elapsed := s.watches.Load(), time.Since(began)
+	is.True(time.Duration(calls-1)*200*time.Millisecond <= elapsed)
+}
+
 // TestChangedFaultIsLogged guards against an entry whose fault changes unnoticed because many entries had faults
 // before: the limit of logged faults applies to further entries only.
 func TestChangedFaultIsLogged(t *testing.T) {
@@ -199,6 +222,7 @@
 	}{
 		"nothing":          {change: func(*direct.Settings) {}},
 		"drain limit":      {change: func(s *direct.Settings) { s.DrainLimit++ }},
+		"leave limit":      {change: func(s *direct.Settings) { s.LeaveLimit++ }},
 		"host":             {change: func(s *direct.Settings) { s.ID = "front-2" }, needsRestart: true},
 		"failure domain":   {change: func(s *direct.Settings) { s.FailureDomain = "attiki-2" }, needsRestart: true},
 		"flow age":         {change: func(s *direct.Settings) { s.FlowAge++ }, needsRestart: true},
--- a/io/transport/direct/reader.go
+++ b/io/transport/direct/reader.go
@@ -37,8 +37,11 @@
 	endpointsLimit = watchWait + 600*time.Millisecond
 	// noConfigurationPause is the time between two reads while the operator has not written a configuration.
 	noConfigurationPause = 250 * time.Millisecond
-	// watchPause is the time between two watches, so that changes in quick succession are read together.
-	watchPause = 50 * time.Millisecond
+	// watchPauseShare is the time between two watches, as a share of the limit within which endpoints that leave must get no
+	// new flows. Changes in quick succession are read together, since each call of the store has its price.
+	watchPauseShare = 0.07
+	// defaultLeaveLimit is that limit if the settings have none.
+	defaultLeaveLimit = 3 * time.Second
 	// idlePause is the time between two checks of whether a read is due.
 	idlePause = 100 * time.Millisecond
 )
@@ -53,6 +56,16 @@
 	return defaultApplyLimit
 }
 
+// leaveLimit returns the time within which endpoints that leave must get no new flows.
+func (p *Process) leaveLimit() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.settings.LeaveLimit > 0 {
+		return p.settings.LeaveLimit
+	}
+	return defaultLeaveLimit
+}
+
 // limits returns how old the configuration and the endpoints may be before this balancer reads the store itself.
 func (p *Process) limits(applyLimit time.Duration) spread.Limits {
 	if applyLimit <= 0 {
@@ -225,7 +238,7 @@
 		default:
 			isListed, failures = true, 0
 			p.peers.announce()
-			if !p.pause(watchPause, nil) {
+			if !p.pause(time.Duration(watchPauseShare*float64(p.leaveLimit())), nil) {
 				return
 			}
 		}
--- a/io/transport/direct/reload.go
+++ b/io/transport/direct/reload.go
@@ -2,14 +2,14 @@
 
 import "slices"
 
-// Reload applies new settings for peers, apply limit and drain limit. Names, addresses, the readiness path and the flow
+// Reload applies new settings for peers, apply limit, leave limit and drain limit. Names, addresses, the readiness path and the flow
 // age cannot change while the process runs. A change of them takes effect at the next start and is logged.
 func (p *Process) Reload(s *Settings) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	old := p.settings
 	applied := *old
-	applied.Peers, applied.ApplyLimit, applied.DrainLimit = s.Peers, s.ApplyLimit, s.DrainLimit
+	applied.Peers, applied.ApplyLimit, applied.LeaveLimit, applied.DrainLimit = s.Peers, s.ApplyLimit, s.LeaveLimit, s.DrainLimit
 	var changed []string
 	if !slices.Equal(old.Peers, s.Peers) {
 		changed = append(changed, "peers")
@@ -23,6 +23,9 @@
 		p.peers.plan.SetLimits(limits)
 		p.forwarder.SetConfirmedFor(limits.Configuration)
 	}
+	if old.LeaveLimit != s.LeaveLimit {
+		changed = append(changed, "leave_limit")
+	}
 	if old.DrainLimit != s.DrainLimit {
 		changed = append(changed, "drain_limit")
 	}
--- a/standin/direct/store.go
+++ b/standin/direct/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net"
 	"net/http"
 	"slices"
@@ -30,6 +31,7 @@
 	compactedTo uint64 // the history up to this revision has been dropped
 	revision    uint64
 	changed     chan struct{} // closed and replaced by each change
+	replica     *Store        // answers calls with serializable=1 while they lag; nil if they do not
 }
 
 type object struct {
@@ -101,6 +103,16 @@
 	s.changed = make(chan struct{})
 }
 
+// FreezeReplica lets calls with serializable=1 return the present state from now on, whatever changes later.
+func (s *Store) FreezeReplica() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.replica = &Store{
+		objects: maps.Clone(s.objects), events: slices.Clone(s.events), compactedTo: s.compactedTo, revision: s.revision,
+		changed: make(chan struct{}),
+	}
+}
+
 // StoreListener is one listener of the store, with its own fault.
 type StoreListener struct {
 	Address string // listen address
@@ -149,21 +161,27 @@
 	}
 	time.Sleep(f.Delay)
 	kind, name, hasName := strings.Cut(strings.TrimPrefix(r.URL.Path, "/api/objects/"), "/")
-	switch q := r.URL.Query(); {
+	q := r.URL.Query()
+	s := d.store
+	s.mu.Lock()
+	if s.replica != nil && q.Get("serializable") == "1" {
+		s = s.replica
+	}
+	d.store.mu.Unlock()
+	switch {
 	case r.Method != http.MethodGet:
 		w.WriteHeader(http.StatusMethodNotAllowed)
 	case hasName:
 		d.reads.Add(1)
-		d.get(w, kind, name)
+		s.get(w, kind, name)
 	case q.Get("watch") != "":
-		d.watch(w, r, kind)
+		s.watch(w, r, kind)
 	default:
-		d.list(w, kind)
+		s.list(w, kind)
 	}
 }
 
-func (d *StoreListener) get(w http.ResponseWriter, kind, name string) {
-	s := d.store
+func (s *Store) get(w http.ResponseWriter, kind, name string) {
 	s.mu.Lock()
 	o, ok := s.objects[kind+"/"+name]
 	s.mu.Unlock()
@@ -174,8 +192,7 @@
 	reply(w, o)
 }
 
-func (d *StoreListener) list(w http.ResponseWriter, kind string) {
-	s := d.store
+func (s *Store) list(w http.ResponseWriter, kind string) {
 	s.mu.Lock()
 	items := []object{}
 	for key, o := range s.objects {
@@ -189,14 +206,13 @@
 	reply(w, map[string]any{"items": items, "more": false, "at": at})
 }
 
-func (d *StoreListener) watch(w http.ResponseWriter, r *http.Request, kind string) {
+func (s *Store) watch(w http.ResponseWriter, r *http.Request, kind string) {
 	after, err := strconv.ParseUint(r.URL.Query().Get("watch"), 10, 64)
 	wait, err2 := strconv.Atoi(r.URL.Query().Get("wait_ms"))
 	if err != nil || err2 != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	s := d.store
 	deadline := time.After(time.Duration(wait) * time.Millisecond)
 	for hasTimedOut := false; ; {
 		s.mu.Lock()
--- a/test/process/direct_test.go
+++ b/test/process/direct_test.go
@@ -164,9 +164,10 @@
 listen: {datagram_addr: "%[3]s:%[4]d", ready_addr: "%[3]s:%[5]d", control: "%[3]s:%[6]d"}
 internal_port_range: [%[7]d, %[7]d]
 seeds: ["%[8]s:%[6]d"]
-bounds: {config_apply_ms: %[9]d, grace_s: 6, max_flow_s: 60}
+bounds: {config_apply_ms: %[9]d, drain_ms: %[11]d, grace_s: 6, max_flow_s: 60}
 platform: {address: "%[10]s"}
-`, id, domain, ip, f.port, f.port+1, f.port+2, f.port+3, f.balancers[0].ip, applyLimit.Milliseconds(), b.proxy.Address)
+`, id, domain, ip, f.port, f.port+1, f.port+2, f.port+3, f.balancers[0].ip, applyLimit.Milliseconds(), b.proxy.Address,
+		leaveLimit.Milliseconds())
 	if err := os.WriteFile(b.settings, []byte(text), 0o600); err != nil {
 		f.t.Fatal(err)
 	}
@@ -333,6 +334,29 @@
 	is.Equal(r.TimedOut, int64(0))
 }
 
+// leaveLimit is the time after which no new flow may reach an endpoint that leaves.
+const leaveLimit = 3 * time.Second
+
+// TestDirectStaleReplica guards against new flows for an endpoint that leaves, because balancers follow the endpoints by
+// calls that the store may answer from a replica that is seconds behind.
+func TestDirectStaleReplica(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := startDirect(t)
+	load := f.startLoad(fewFlows)
+	time.Sleep(time.Second)
+	f.store.FreezeReplica()
+	time.Sleep(leaveLimit) // watches that had begun before have ended
+	is.NoErr(f.endpoints["i-f0"].Drain())
+	f.addEndpoint("i-f9", "feed", "attiki-a")
+	time.Sleep(leaveLimit)
+	opened := f.endpoints["i-f0"].Opened()
+	time.Sleep(2 * time.Second)
+	is.Equal(f.endpoints["i-f0"].Opened(), opened)
+	is.True(f.endpoints["i-f9"].Opened() > 0)
+	f.checkResult(load.Stop())
+}
+
 // TestDirectSilentEndpoint guards against new flows for an endpoint that no longer answers, while its entry in the
 // store is still valid, and against open flows that wait for their deadline instead of being reset.
 func TestDirectSilentEndpoint(t *testing.T) {
