Let a balancer that has just started confirm nothing

What could reach callers: new flows for endpoints that leave, longer than allowed, after balancers restart.

Cause: MarkStarted set the time as of which the configuration and the endpoints were known to be the newest to the start of the process, though its reads may have failed and its first list may be seconds old. The next announcement of this balancer passed that time on, so that others with the same revision did not read the store.

Evidence: TestStartClaimsNothing failed before the change: the age of the endpoints at a receiver fell from 2.7 s to 0.1 s by such an announcement.

Change: the start of the wait for announcements is kept apart from the time as of which the state is known.

--- a/core/coordination/spread/spread.go
+++ b/core/coordination/spread/spread.go
@@ -105,6 +105,7 @@
 type freshness struct {
 	limit        time.Duration // age at which the balancer takes over reading
 	asOf         time.Time     // when the state was last known to be the newest
+	waitFrom     time.Time     // when the process began to wait for announcements
 	hasTakenOver bool          // reads although it is not the reader, as no fresh announcement has arrived
 }
 
@@ -116,7 +117,7 @@
 func (p *Plan) ReadsEndpoints(now time.Time) bool { return p.reads(now, &p.endpoints) }
 
 func (p *Plan) reads(now time.Time, k *freshness) bool {
-	if now.Sub(k.asOf) > k.limit+p.delay() {
+	if now.Sub(k.asOf) > k.limit+p.delay() && now.Sub(k.waitFrom) > k.limit+p.delay() {
 		k.hasTakenOver = true
 	}
 	return p.IsReader() || k.hasTakenOver
@@ -161,13 +162,11 @@
 }
 
 // MarkStarted records that the process has tried once to read everything from the store, with or without success. From
-// then on the balancer waits for announcements if it is not the reader.
+// then on the balancer waits for announcements if it is not the reader. What it knows does not count as the newest for
+// that: the reads may have failed, and the list may be old.
 func (p *Plan) MarkStarted(now time.Time) {
 	for _, k := range []*freshness{&p.configuration, &p.endpoints} {
-		if k.asOf.IsZero() {
-			k.asOf = now
-		}
-		k.hasTakenOver = false
+		k.waitFrom, k.hasTakenOver = now, false
 	}
 }
 
--- a/core/coordination/spread/spread_test.go
+++ b/core/coordination/spread/spread_test.go
@@ -183,6 +183,31 @@
 	is.Equal(reading, 1)
 }
 
+// TestStartClaimsNothing guards against balancers that rely on one which has just started: its first list may be seconds
+// old, or the read may have failed, and it announces what it knows nevertheless.
+func TestStartClaimsNothing(t *testing.T) {
+	is := is.New(t)
+	all := plans(2)
+	started, other := all[1], all[2]
+	started.MarkStarted(start)
+	a := &spread.Announcement{Version: 7, Revision: 9}
+	now := start.Add(100 * time.Millisecond)
+	started.Complete(now, a)
+	other.ConfirmConfiguration(start.Add(-limits.Configuration))
+	other.ConfirmEndpoints(start.Add(-limits.Endpoints))
+	other.UpdateAges(now, a, 7, 9)
+	_, age := other.Ages(now)
+	is.Equal(age, limits.Endpoints+100*time.Millisecond)
+	is.True(other.ReadsConfiguration(now))
+	is.True(other.ReadsEndpoints(now))
+
+	for _, p := range all {
+		p.MarkStarted(start)
+		is.Equal(p.ReadsEndpoints(start.Add(time.Second)), p.IsReader()) // the others wait for its announcement
+		is.True(p.ReadsEndpoints(start.Add(limits.Endpoints + 500*time.Millisecond)))
+	}
+}
+
 // TestStaleAnnouncement guards against balancers that rely on a reader which can no longer reach the store.
 func TestStaleAnnouncement(t *testing.T) {
 	is := is.New(t)
