Replace silent connections to the store before limits pass

Cause: waits that add up. The balancer takes over after up to 2.6 s; its watch on the silent connection ends after its wait of 2 s and a margin of 1 s; then it waits once more. The read of the configuration had the same gap.

Ruled out: a late view of the members (it took 1.64 s), and the peers (no announcement was lost).

Change: a read without an answer for 0.5 s on a connection that was used before is repeated at once on a new one; twice the time of the last answer if the store is slow; writes are not repeated. The first call after a time without an answer does not wait for changes. A reply without changes counts as old as the end of its wait.

--- a/io/transport/direct/direct.go
+++ b/io/transport/direct/direct.go
@@ -151,7 +151,7 @@
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	p.forwarder = steering.New(steering.Config{
 		FailureDomain: p.settings.FailureDomain, FlowAge: p.settings.FlowAge,
-		ConfirmedFor: p.limits(p.settings.ApplyLimit).Configuration,
+		ConfirmedFor: p.settings.limits().Configuration,
 	}, p.metrics, random)
 	if err = joinPeers(p); err != nil {
 		return err
--- a/io/transport/direct/direct_test.go
+++ b/io/transport/direct/direct_test.go
@@ -22,11 +22,16 @@
 
 // store is a store whose replies the test sets.
 type store struct {
-	configurations atomic.Int32 // number of reads of the configuration
-	watches        atomic.Int32 // number of watches of the endpoints
-	isBusy         bool         // each watch returns a change at once
-	configuration  func() (*directory.Configuration, []direct.Fault, error)
-	endpoints      func(ctx context.Context) ([]directory.Endpoint, uint64, []direct.Fault, error)
+	configurations atomic.Int32  // number of reads of the configuration
+	watches        atomic.Int32  // number of watches of the endpoints
+	isBusy         bool          // each watch returns a change at once
+	delay          time.Duration // of each reply to a watch
+	failures       int32         // number of watches that fail, the first ones
+
+	mu            sync.Mutex
+	waits         []time.Duration // of the watches
+	configuration func() (*directory.Configuration, []direct.Fault, error)
+	endpoints     func(ctx context.Context) ([]directory.Endpoint, uint64, []direct.Fault, error)
 }
 
 func (s *store) Configuration(context.Context) (*directory.Configuration, []direct.Fault, error) {
@@ -41,7 +46,13 @@
 func (s *store) WatchEndpoints(ctx context.Context, after uint64, wait time.Duration) (
 	[]discovery.Change, uint64, []direct.Fault, error,
 ) {
-	s.watches.Add(1)
+	s.mu.Lock()
+	s.waits = append(s.waits, wait)
+	s.mu.Unlock()
+	if s.watches.Add(1) <= s.failures {
+		return nil, 0, nil, errors.New("connection refused")
+	}
+	time.Sleep(s.delay)
 	if s.isBusy {
 		return []discovery.Change{{ID: "i-1", Revision: after + 1}}, after + 1, nil, nil
 	}
@@ -172,12 +183,8 @@
 // make them that start together.
 func TestChangesAreReadTogether(t *testing.T) {
 	is := is.New(t)
-	s := &store{isBusy: true, endpoints: func(context.Context) ([]directory.Endpoint, uint64, []direct.Fault, error) {
-		return nil, 3, nil, nil
-	}}
-	s.configuration = func() (*directory.Configuration, []direct.Fault, error) {
-		return &directory.Configuration{Version: 7}, nil, nil
-	}
+	s := newIdleStore()
+	s.isBusy = true
 	began := time.Now()
 	start(t, s)
 	eventually(t, "some watches", func() bool { return s.watches.Load() >= 5 })
@@ -185,6 +192,65 @@
 	is.True(time.Duration(calls-1)*200*time.Millisecond <= elapsed)
 }
 
+// TestWatchAfterSilenceIsShort guards against a balancer that goes on with a long watch after a time without an answer:
+// whether its connections have gone silent would show only when the watch should have ended.
+func TestWatchAfterSilenceIsShort(t *testing.T) {
+	is := is.New(t)
+	const failures = 5 // more than a second, with the waits between them
+	s := newIdleStore()
+	s.failures = failures
+	start(t, s)
+	eventually(t, "watches after the failed ones", func() bool { return s.watches.Load() >= failures+2 })
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	is.Equal(s.waits[failures], time.Duration(0))
+	is.True(s.waits[0] > 0)          // the list has just been read
+	is.True(s.waits[failures+1] > 0) // the connection works
+}
+
+// TestLateReplyIsOld guards against a list that counts as newer than it is because the reply of the store was on its way
+// for a while.
+func TestLateReplyIsOld(t *testing.T) {
+	s := newIdleStore()
+	s.delay = time.Second
+	p, _ := start(t, s)
+	eventually(t, "the age of the endpoint list is known", func() bool {
+		_, age := p.Ages()
+		return age < time.Hour
+	})
+	if _, age := p.Ages(); age < s.delay {
+		t.Errorf("the reply took %s, and the list counts as %s old", s.delay, age)
+	}
+}
+
+// newIdleStore returns a store with a configuration and without endpoints, in which nothing changes.
+func newIdleStore() *store {
+	return &store{
+		configuration: func() (*directory.Configuration, []direct.Fault, error) {
+			return &directory.Configuration{Version: 7}, nil, nil
+		},
+		endpoints: func(context.Context) ([]directory.Endpoint, uint64, []direct.Fault, error) { return nil, 3, nil, nil },
+	}
+}
+
+// TestTakeoverFitsLeaveLimit guards against limits that add up to more than the time within which an endpoint that leaves
+// must get no new flows: the reader is lost just before, and the call of the balancer that takes over is repeated on a
+// new connection after half a second.
+func TestTakeoverFitsLeaveLimit(t *testing.T) {
+	const (
+		check  = 100 * time.Millisecond // until the balancer checks whether a read is due
+		silent = 500 * time.Millisecond
+		rest   = 400 * time.Millisecond // a slow host connects, reads and announces
+	)
+	for _, limit := range []time.Duration{0, 3 * time.Second, 5 * time.Second, 6 * time.Second} {
+		is := is.New(t)
+		s := direct.Settings{LeaveLimit: limit}
+		takeover, watch := s.Limits().Endpoints, s.WatchWait()
+		is.True(takeover+check+silent+rest <= max(limit, 3*time.Second))
+		is.True(watch+check < takeover) // the announcements of a reader that lives come in time
+	}
+}
+
 // TestChangedFaultIsLogged guards against an entry whose fault changes unnoticed because many entries had faults
 // before: the limit of logged faults applies to further entries only.
 func TestChangedFaultIsLogged(t *testing.T) {
--- a/io/transport/direct/export_test.go
+++ b/io/transport/direct/export_test.go
@@ -1,6 +1,10 @@
 package direct
 
-import "time"
+import (
+	"time"
+
+	"cornellb/core/coordination/spread"
+)
 
 // Ages returns the ages that the gauges of the configuration and the endpoints show.
 func (p *Process) Ages() (configuration, endpoints time.Duration) {
@@ -11,3 +15,9 @@
 
 // ProbeEndpoint carries out one probe.
 var ProbeEndpoint = probe
+
+// Limits returns how old the configuration and the endpoints may be before a balancer reads the store itself.
+func (s *Settings) Limits() spread.Limits { return s.limits() }
+
+// WatchWait returns how long a watch of the endpoints waits for changes.
+func (s *Settings) WatchWait() time.Duration { return s.watchWait() }
--- a/io/transport/direct/peers.go
+++ b/io/transport/direct/peers.go
@@ -60,7 +60,7 @@
 		ID: s.ID, FailureDomain: s.FailureDomain, Address: s.PeerAddress,
 		Incarnation: member.Incarnation(rand.Uint64() | 1), // 0 means no incarnation
 	}}
-	h.plan = spread.New(h.self.Incarnation, s.FailureDomain, p.limits(s.ApplyLimit))
+	h.plan = spread.New(h.self.Incarnation, s.FailureDomain, s.limits())
 	p.peers = h // before Listen, after which messages arrive
 	if !s.PeerAddress.IsValid() {
 		return nil
--- a/io/transport/direct/reader.go
+++ b/io/transport/direct/reader.go
@@ -19,9 +19,6 @@
 	// readIntervalShare is the time between two reads of the configuration, as a share of the limit within which a
 	// configuration must take effect. Two failed reads still fit into the limit.
 	readIntervalShare = 0.45
-	// watchWait is how long a watch waits for changes. It also bounds the time until a connection that went silent is
-	// noticed.
-	watchWait = 2 * time.Second
 	// firstBackoff is the wait after a failed call at the start; it doubles with each further one up to maxBackoff.
 	firstBackoff = 100 * time.Millisecond
 	maxBackoff   = time.Second
@@ -33,12 +30,16 @@
 	// takeoverShare is the share of that limit after which a balancer that has received no announcement from the reader
 	// reads the store itself. It is longer than the time between two reads, and leaves time for a call.
 	takeoverShare = 0.65
-	// endpointsLimit is the corresponding time for endpoints. A reader's watch ends after watchWait at the latest.
-	endpointsLimit = watchWait + 600*time.Millisecond
+	// watchShare is how long a watch waits for changes, as a share of the limit within which endpoints that leave must get
+	// no new flows. It is the time between two announcements while nothing changes.
+	watchShare = 0.4
+	// endpointsShare is the share of that limit after which a balancer that has received no announcement reads the store
+	// itself. It is longer than a watch, and leaves time for a call on a connection that has gone silent and its repetition.
+	endpointsShare = 0.57
 	// noConfigurationPause is the time between two reads while the operator has not written a configuration.
 	noConfigurationPause = 250 * time.Millisecond
-	// watchPauseShare is the time between two watches, as a share of the limit within which endpoints that leave must get no
-	// new flows. Changes in quick succession are read together, since each call of the store has its price.
+	// watchPauseShare is the least time between the beginnings of two watches, as a share of the same limit. Changes in quick
+	// succession are read together, since each call of the store has its price.
 	watchPauseShare = 0.07
 	// defaultLeaveLimit is that limit if the settings have none.
 	defaultLeaveLimit = 3 * time.Second
@@ -46,43 +47,47 @@
 	idlePause = 100 * time.Millisecond
 )
 
-// applyLimit returns the time within which a new configuration must take effect.
-func (p *Process) applyLimit() time.Duration {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.settings.ApplyLimit > 0 {
-		return p.settings.ApplyLimit
+// applyLimit returns ApplyLimit or its default.
+func (s *Settings) applyLimit() time.Duration {
+	if s.ApplyLimit > 0 {
+		return s.ApplyLimit
 	}
 	return defaultApplyLimit
 }
 
-// leaveLimit returns the time within which endpoints that leave must get no new flows.
-func (p *Process) leaveLimit() time.Duration {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.settings.LeaveLimit > 0 {
-		return p.settings.LeaveLimit
+// leaveLimit returns LeaveLimit or its default.
+func (s *Settings) leaveLimit() time.Duration {
+	if s.LeaveLimit > 0 {
+		return s.LeaveLimit
 	}
 	return defaultLeaveLimit
 }
 
-// limits returns how old the configuration and the endpoints may be before this balancer reads the store itself.
-func (p *Process) limits(applyLimit time.Duration) spread.Limits {
-	if applyLimit <= 0 {
-		applyLimit = defaultApplyLimit
-	}
-	return spread.Limits{
-		Configuration: time.Duration(takeoverShare * float64(applyLimit)), Endpoints: endpointsLimit,
-	}
+// currentSettings returns the settings in force.
+func (p *Process) currentSettings() *Settings {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.settings
+}
+
+// limits returns how old the configuration and the endpoints may be before a balancer reads the store itself.
+func (s *Settings) limits() spread.Limits {
+	return spread.Limits{Configuration: share(takeoverShare, s.applyLimit()), Endpoints: share(endpointsShare, s.leaveLimit())}
 }
 
+// watchWait returns how long a watch of the endpoints waits for changes.
+func (s *Settings) watchWait() time.Duration { return share(watchShare, s.leaveLimit()) }
+
+// share returns a part of a duration.
+func share(part float64, d time.Duration) time.Duration { return time.Duration(part * float64(d)) }
+
 // readConfiguration reads the configuration at regular intervals while this balancer is the reader of its failure
 // domain (see core/coordination/spread) or has received no recent announcement from the reader, and whenever a read is
 // requested. A watch alone is not enough: it can return nothing although changes are made.
 func (p *Process) readConfiguration() {
 	failures := 0
 	for {
-		interval := time.Duration(readIntervalShare * float64(p.applyLimit()))
+		interval := share(readIntervalShare, p.currentSettings().applyLimit())
 		isDue := func() bool { return p.peers.plan.ReadsConfiguration(p.adapters.Clock.Now()) }
 		isRetry := failures > 0 && !p.isComplete.Load()
 		// While the store does not answer, a packet to an unknown route is no reason to call it again.
@@ -204,6 +209,7 @@
 	failures := 0
 	isListed := false // the revision of the list is known, so changes after it can be watched
 	isFresh := false  // the first list may be stale: the watch that follows returns the missing changes
+	var answeredAt time.Time
 	for {
 		isDue := func() bool { return p.peers.plan.ReadsEndpoints(p.adapters.Clock.Now()) }
 		isRequested := p.endpointsRequest.take() && failures == 0
@@ -214,9 +220,17 @@
 			}
 			continue
 		}
+		limit := p.currentSettings().leaveLimit()
+		began := p.adapters.Clock.Now()
 		var err error
 		if isListed {
-			err = p.watchEndpoints()
+			wait := p.currentSettings().watchWait()
+			if began.Sub(answeredAt) > wait {
+				// The connections have been idle. A call that is answered at once shows sooner than a watch whether they
+				// have gone silent meanwhile.
+				wait = 0
+			}
+			err = p.watchEndpoints(began, wait)
 		} else {
 			err = p.listEndpoints(isFresh)
 			p.recordStartupRead(&p.wereEndpointsRead)
@@ -236,9 +250,9 @@
 				return
 			}
 		default:
-			isListed, failures = true, 0
+			isListed, failures, answeredAt = true, 0, p.adapters.Clock.Now()
 			p.peers.announce()
-			if !p.pause(time.Duration(watchPauseShare*float64(p.leaveLimit())), nil) {
+			if rest := share(watchPauseShare, limit) - answeredAt.Sub(began); rest > 0 && !p.pause(rest, nil) {
 				return
 			}
 		}
@@ -262,17 +276,21 @@
 	return nil
 }
 
-func (p *Process) watchEndpoints() error {
+// watchEndpoints waits for changes of endpoints. began is the time now.
+func (p *Process) watchEndpoints(began time.Time, wait time.Duration) error {
 	p.mu.Lock()
 	after := p.state.Revision()
 	p.mu.Unlock()
-	changes, revision, faults, err := p.adapters.Store.WatchEndpoints(p.ctx, after, watchWait)
+	changes, revision, faults, err := p.adapters.Store.WatchEndpoints(p.ctx, after, wait)
 	if p.recordStoreCall("endpoints", err); err != nil {
 		return err
 	}
 	p.logFaults(faults)
 	p.update(func(now time.Time) {
 		p.apply(now, changes, after, revision, "store")
+		if end := began.Add(wait); len(changes) == 0 && end.Before(now) {
+			now = end // the reply may have been on its way for a while; the store has waited for as long as it was asked to
+		}
 		p.peers.plan.ConfirmEndpoints(now)
 	})
 	return nil
--- a/io/transport/direct/reload.go
+++ b/io/transport/direct/reload.go
@@ -19,9 +19,6 @@
 	}
 	if old.ApplyLimit != s.ApplyLimit {
 		changed = append(changed, "apply_limit")
-		limits := p.limits(s.ApplyLimit)
-		p.peers.plan.SetLimits(limits)
-		p.forwarder.SetConfirmedFor(limits.Configuration)
 	}
 	if old.LeaveLimit != s.LeaveLimit {
 		changed = append(changed, "leave_limit")
@@ -30,6 +27,9 @@
 		changed = append(changed, "drain_limit")
 	}
 	p.settings = &applied
+	limits := applied.limits()
+	p.peers.plan.SetLimits(limits)
+	p.forwarder.SetConfirmedFor(limits.Configuration)
 	p.log.Info("settings reloaded", "changed", changed)
 	if needsRestart := s.ID != old.ID || s.FailureDomain != old.FailureDomain || s.PacketAddress != old.PacketAddress ||
 		s.ReadyAddress != old.ReadyAddress || s.ReadyPath != old.ReadyPath || s.OperatorAddress != old.OperatorAddress ||
--- a/io/transport/platform/client.go
+++ b/io/transport/platform/client.go
@@ -16,9 +16,11 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"net/http/httptrace"
 	"reflect"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-json-experiment/json"
@@ -53,6 +55,13 @@
 	// watchMargin is added to the wait of a watch to obtain its timeout. WatchWait plus watchMargin stays below the 4 s
 	// within which an accepted version must be in force, so that an unresponsive connection is replaced in time.
 	watchMargin = time.Second
+	// minSilence is the least time after which a read on a connection that was used before is repeated on a new one. A
+	// connection may have gone silent while it was idle, and new ones work.
+	minSilence = 500 * time.Millisecond
+	// slowFactor times the time that the last answer took is the limit if that is longer, because the platform is slow.
+	// Answers older than slowLifetime do not count.
+	slowFactor   = 2
+	slowLifetime = 5 * time.Second
 	// ReadAttempts is the maximum number of attempts of a read.
 	ReadAttempts = 3
 	// firstBackoff is the mean wait before the first retry. It doubles with each further retry, see backoff.
@@ -68,7 +77,14 @@
 	url     string
 	timeout time.Duration
 	clock   Clock
-	http    *http.Client
+	pool    atomic.Pointer[http.Transport] // replaced when one of its connections has gone silent
+	last    atomic.Pointer[answer]         // to a call other than a watch; nil if there was none
+}
+
+// answer records how long an answer took.
+type answer struct {
+	at   time.Time
+	took time.Duration
 }
 
 // NewClient returns a client of the platform at a URL such as http://127.0.0.1:7600. Each attempt other than a watch is
@@ -77,16 +93,17 @@
 	if timeout <= 0 {
 		timeout = DefaultTimeout
 	}
-	transport := &http.Transport{
-		MaxIdleConnsPerHost: 4, IdleConnTimeout: idleTimeout, DisableCompression: true,
-	}
-	return &Client{
-		url: strings.TrimSuffix(url, "/"), timeout: timeout, clock: clock, http: &http.Client{Transport: transport},
-	}
+	c := &Client{url: strings.TrimSuffix(url, "/"), timeout: timeout, clock: clock}
+	c.pool.Store(newPool())
+	return c
+}
+
+func newPool() *http.Transport {
+	return &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: idleTimeout, DisableCompression: true}
 }
 
 // Close closes idle connections.
-func (c *Client) Close() { c.http.CloseIdleConnections() }
+func (c *Client) Close() { c.pool.Load().CloseIdleConnections() }
 
 // Get returns an object.
 func (c *Client) Get(ctx context.Context, kind, name string) (platform.Object, error) {
@@ -141,7 +158,7 @@
 
 // Call describes one HTTP request, with the names and versions that its errors report.
 type Call struct {
-	Method     string        // GET if empty
+	Method     string        // GET if empty; only GET is repeated
 	Operation  string        // as reported in errors, such as "get tables/head"
 	Kind, Name string        // of the object
 	Path       string        // including the query
@@ -167,37 +184,85 @@
 	}
 }
 
-// Do makes one HTTP request without retries and returns the status of the response, or 0 if there was none.
+// Do makes one HTTP request and returns the status of the response, or 0 if there was none. It does not retry, except for
+// a read on a connection that has gone silent: that is repeated at once on a new connection, with the whole timeout.
 func (c *Client) Do(ctx context.Context, k Call) (int, error) {
+	if k.Method == "" {
+		k.Method = http.MethodGet
+	}
+	pool := c.pool.Load()
+	status, err := c.attempt(ctx, k, pool, k.Method == http.MethodGet)
+	if !errors.Is(err, errSilent) {
+		return status, err
+	}
+	// Other idle connections of the pool may be silent as well. Calls that are under way keep theirs.
+	c.pool.CompareAndSwap(pool, newPool())
+	pool.CloseIdleConnections()
+	return c.attempt(ctx, k, c.pool.Load(), false)
+}
+
+// errSilent is the cause of the end of an attempt on a connection that has gone silent.
+var errSilent = errors.New("no answer on a connection that was used before")
+
+// attempt makes one HTTP request. isLimited is whether it fails with errSilent if the connection was used before and
+// nothing arrives within the limit for that.
+func (c *Client) attempt(ctx context.Context, k Call, pool *http.Transport, isLimited bool) (int, error) {
 	timeout := c.timeout
 	if k.Wait > 0 {
 		timeout = k.Wait + watchMargin
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	method := k.Method
-	if method == "" {
-		method = http.MethodGet
+	ctx, end := context.WithCancelCause(ctx)
+	defer end(nil)
+	if isLimited {
+		const never = 24 * time.Hour
+		silence := time.AfterFunc(never, func() { end(errSilent) })
+		defer silence.Stop()
+		ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+			GotConn: func(info httptrace.GotConnInfo) {
+				if silence.Stop(); info.Reused {
+					silence.Reset(k.Wait + c.silenceLimit())
+				}
+			},
+			GotFirstResponseByte: func() { silence.Stop() },
+		})
 	}
-	request, err := http.NewRequestWithContext(ctx, method, c.url+k.Path, bytes.NewReader(k.Body))
+	began := time.Now()
+	request, err := http.NewRequestWithContext(ctx, k.Method, c.url+k.Path, bytes.NewReader(k.Body))
 	if err != nil {
 		return 0, &RequestError{Operation: k.Operation, Message: err.Error()}
 	}
 	if len(k.Body) > 0 {
 		request.Header.Set("Content-Type", "application/json")
 	}
-	response, err := c.http.Do(request)
+	response, err := (&http.Client{Transport: pool}).Do(request)
 	if err != nil {
-		c.http.CloseIdleConnections() // other idle connections may be dead as well
+		if errors.Is(context.Cause(ctx), errSilent) {
+			err = errSilent
+		}
+		pool.CloseIdleConnections() // other idle connections may be dead as well
 		return 0, &UnavailableError{Operation: k.Operation, Err: err}
 	}
 	defer response.Body.Close()
+	if k.Wait == 0 {
+		now := time.Now()
+		c.last.Store(&answer{now, now.Sub(began)})
+	}
 	body := io.LimitReader(response.Body, replyLimit)
 	err = k.decodeResponse(response, body)
 	_, _ = io.Copy(io.Discard, body) // the connection is reused only if its body was read to the end
 	return response.StatusCode, err
 }
 
+// silenceLimit returns the time without an answer after which a connection that was used before counts as silent.
+func (c *Client) silenceLimit() time.Duration {
+	if last := c.last.Load(); last != nil && time.Since(last.at) < slowLifetime {
+		return max(minSilence, slowFactor*last.took)
+	}
+	return minSilence
+}
+
 // decodeResponse decodes the body while it arrives, so that on a slow link most of the decoding overlaps with the
 // transfer. Error statuses become errors of the types in errors.go.
 func (k Call) decodeResponse(response *http.Response, body io.Reader) error {
--- a/standin/proxy/proxy.go
+++ b/standin/proxy/proxy.go
@@ -47,7 +47,7 @@
 	fault    atomic.Pointer[Fault]
 
 	mu    sync.Mutex
-	conns map[net.Conn]bool
+	conns map[net.Conn]*atomic.Bool // whether the connection is silent
 }
 
 // Listen starts a proxy. Port 0 selects a free port.
@@ -56,7 +56,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "listen")
 	}
-	p := &Proxy{Address: l.Addr().String(), target: target, listener: l, conns: make(map[net.Conn]bool)}
+	p := &Proxy{Address: l.Addr().String(), target: target, listener: l, conns: make(map[net.Conn]*atomic.Bool)}
 	p.Set(Fault{})
 	go p.run()
 	return p, nil
@@ -70,6 +70,17 @@
 	}
 }
 
+// Silence lets the open connections lose all further bytes in both directions and stay open. New ones are not affected. It
+// returns the number of connections.
+func (p *Proxy) Silence() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, isSilent := range p.conns {
+		isSilent.Store(true)
+	}
+	return len(p.conns) / 2 // each has two ends
+}
+
 // Close stops the proxy and resets its connections.
 func (p *Proxy) Close() {
 	_ = p.listener.Close()
@@ -104,33 +115,38 @@
 			_ = client.Close()
 			continue
 		}
+		isSilent := new(atomic.Bool)
 		p.mu.Lock()
-		p.conns[client], p.conns[target] = true, true
+		p.conns[client], p.conns[target] = isSilent, isSilent
 		p.mu.Unlock()
-		go p.forward(target, client, DropToTarget)
-		go p.forward(client, target, DropFromTarget)
+		go p.forward(target, client, DropToTarget, isSilent)
+		go p.forward(client, target, DropFromTarget, isSilent)
 	}
 }
 
 // forward copies bytes in one direction until either connection ends. Once it has dropped bytes because of dropMode, it
-// drops all further ones, so that the receiver never sees a stream with a gap.
-func (p *Proxy) forward(to, from net.Conn, dropMode Mode) {
-	defer p.closeConns(to, from)
+// drops all further ones, so that the receiver never sees a stream with a gap. Of a silent connection it also keeps the
+// end of one side from the other.
+func (p *Proxy) forward(to, from net.Conn, dropMode Mode, isSilent *atomic.Bool) {
 	b := make([]byte, 32<<10)
 	isDropping := false
 	for {
 		n, err := from.Read(b)
 		if err != nil {
+			if !isSilent.Load() {
+				p.closeConns(to, from)
+			}
 			return
 		}
 		f := *p.fault.Load()
-		if isDropping = isDropping || f.Mode == dropMode; isDropping {
+		if isDropping = isDropping || f.Mode == dropMode || isSilent.Load(); isDropping {
 			continue
 		}
 		if f.Mode == Delay {
 			time.Sleep(f.Delay)
 		}
 		if _, err := to.Write(b[:n]); err != nil {
+			p.closeConns(to, from)
 			return
 		}
 	}
--- a/test/process/direct_test.go
+++ b/test/process/direct_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/netip"
 	"os"
 	"path/filepath"
@@ -357,6 +358,53 @@
 	f.checkResult(load.Stop())
 }
 
+// TestDirectLostReader guards against new flows for an endpoint that leaves, because the reader of its failure domain is
+// lost and the connections of the balancer that takes over have gone silent while they were idle.
+func TestDirectLostReader(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := startDirect(t)
+	load := f.startLoad(fewFlows)
+	time.Sleep(2 * time.Second)                     // the balancers know each other, and the connections are idle
+	reader, other := f.balancers[0], f.balancers[1] // of the failure domain of i-f0
+	if !f.isReader(reader) {
+		reader, other = other, reader
+	}
+	is.True(f.isReader(reader) && !f.isReader(other))
+	is.True(other.proxy.Silence() > 0)
+	time.Sleep(time.Second)
+	reader.process.kill()
+	is.NoErr(f.endpoints["i-f0"].Drain())
+	f.addEndpoint("i-f9", "feed", reader.domain)
+	time.Sleep(leaveLimit)
+	opened := f.endpoints["i-f0"].Opened()
+	time.Sleep(2 * time.Second)
+	is.Equal(f.endpoints["i-f0"].Opened(), opened)
+	is.True(f.endpoints["i-f9"].Opened() > 0)
+	f.checkResult(load.Stop())
+}
+
+// isReader reports whether a balancer reads the store for its failure domain.
+func (f *directFleet) isReader(b *directBalancer) bool {
+	f.t.Helper()
+	response, err := httpClient.Get(fmt.Sprintf("http://%s:9464/metrics", b.ip))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	for line := range strings.Lines(string(text)) {
+		if strings.HasPrefix(line, "cornellb_is_reader") {
+			return strings.HasSuffix(strings.TrimSpace(line), " 1")
+		}
+	}
+	f.t.Fatalf("%s exports no gauge cornellb_is_reader", b.id)
+	return false
+}
+
 // TestDirectSilentEndpoint guards against new flows for an endpoint that no longer answers, while its entry in the
 // store is still valid, and against open flows that wait for their deadline instead of being reset.
 func TestDirectSilentEndpoint(t *testing.T) {
