--- a/io/transport/direct/reader.go
+++ b/io/transport/direct/reader.go
@@ -220,11 +220,11 @@
 			}
 			continue
 		}
-		limit := p.currentSettings().leaveLimit()
+		settings := p.currentSettings()
 		began := p.adapters.Clock.Now()
 		var err error
 		if isListed {
-			wait := p.currentSettings().watchWait()
+			wait := settings.watchWait()
 			if began.Sub(answeredAt) > wait {
 				// The connections have been idle. A call that is answered at once shows sooner than a watch whether they
 				// have gone silent meanwhile.
@@ -252,7 +252,8 @@
 		default:
 			isListed, failures, answeredAt = true, 0, p.adapters.Clock.Now()
 			p.peers.announce()
-			if rest := share(watchPauseShare, limit) - answeredAt.Sub(began); rest > 0 && !p.pause(rest, nil) {
+			rest := share(watchPauseShare, settings.leaveLimit()) - answeredAt.Sub(began)
+			if rest > 0 && !p.pause(rest, nil) {
 				return
 			}
 		}
--- a/io/transport/platform/client.go
+++ b/io/transport/platform/client.go
@@ -74,6 +74,10 @@
 
 // Client is an HTTP client of the platform's object API.
 type Client struct {
+	// OnSilent is called when a read is repeated because its connection has gone silent; it may be nil. It must be set
+	// before the first call, and be safe for concurrent use.
+	OnSilent func(operation string)
+
 	url     string
 	timeout time.Duration
 	clock   Clock
@@ -195,6 +199,9 @@
 	if !errors.Is(err, errSilent) {
 		return status, err
 	}
+	if c.OnSilent != nil {
+		c.OnSilent(k.Operation)
+	}
 	// Other idle connections of the pool may be silent as well. Calls that are under way keep theirs.
 	c.pool.CompareAndSwap(pool, newPool())
 	pool.CloseIdleConnections()
--- a/io/transport/platform/silent_test.go
+++ b/io/transport/platform/silent_test.go
@@ -94,10 +94,13 @@
 			}
 			calls.Wait()
 			s.silence()
+			var reported []string
+			c.OnSilent = func(operation string) { reported = append(reported, operation) }
 			began := time.Now()
 			is.NoErr(call(c, http.MethodGet, wait))
 			is.True(time.Since(began) < testTimeout/2)
 			is.Equal(s.calls.Load(), int32(4))
+			is.Equal(reported, []string{"test"})
 		})
 	}
 }
