Bound the wait of a watch for long leave limits

Cause, found by reading: the wait of a watch is 0.4 of drain_ms. The store takes watches of 30 s at most, so that a drain_ms of over 75 s would have let every watch fail; and new endpoints would have become known later the longer endpoints may drain.

Change: a limit above 5 s counts as 5 s.

Result: TestTakeoverFitsLeaveLimit failed before, for 6 s.

--- a/io/transport/direct/direct_test.go
+++ b/io/transport/direct/direct_test.go
@@ -242,12 +242,13 @@
 		silent = 500 * time.Millisecond
 		rest   = 400 * time.Millisecond // a slow host connects, reads and announces
 	)
-	for _, limit := range []time.Duration{0, 3 * time.Second, 5 * time.Second, 6 * time.Second} {
+	for _, limit := range []time.Duration{0, 3 * time.Second, 5 * time.Second, 6 * time.Second, time.Hour} {
 		is := is.New(t)
 		s := direct.Settings{LeaveLimit: limit}
 		takeover, watch := s.Limits().Endpoints, s.WatchWait()
 		is.True(takeover+check+silent+rest <= max(limit, 3*time.Second))
 		is.True(watch+check < takeover) // the announcements of a reader that lives come in time
+		is.True(watch <= 2*time.Second) // the store refuses watches of more than 30 s
 	}
 }
 
--- a/io/transport/direct/reader.go
+++ b/io/transport/direct/reader.go
@@ -41,8 +41,10 @@
 	// watchPauseShare is the least time between the beginnings of two watches, as a share of the same limit. Changes in quick
 	// succession are read together, since each call of the store has its price.
 	watchPauseShare = 0.07
-	// defaultLeaveLimit is that limit if the settings have none.
+	// defaultLeaveLimit is that limit if the settings have none. A longer one than maxLeaveLimit counts as that: new endpoints
+	// and those that are gone must not become known later for it.
 	defaultLeaveLimit = 3 * time.Second
+	maxLeaveLimit     = 5 * time.Second
 	// idlePause is the time between two checks of whether a read is due.
 	idlePause = 100 * time.Millisecond
 )
@@ -55,10 +57,10 @@
 	return defaultApplyLimit
 }
 
-// leaveLimit returns LeaveLimit or its default.
+// leaveLimit returns LeaveLimit or its default, at most maxLeaveLimit.
 func (s *Settings) leaveLimit() time.Duration {
 	if s.LeaveLimit > 0 {
-		return s.LeaveLimit
+		return min(s.LeaveLimit, maxLeaveLimit)
 	}
 	return defaultLeaveLimit
 }
