--- a/core/coordination/spread/spread.go
+++ b/core/coordination/spread/spread.go
@@ -27,6 +27,7 @@
 
 	"cornellb/core/coordination/configuration"
 	"cornellb/core/coordination/discovery"
+	"cornellb/core/state/directory"
 	"cornellb/core/state/member"
 )
 
@@ -60,6 +61,10 @@
 	Base        uint64        // Changes holds all changes after this revision
 	Changes     []discovery.Change
 	LapsedFor   time.Duration // how long endpoints whose registration lapsed during an outage of the store stay usable
+	Era         uint64        // of Revision, Base and Changes
+
+	Evacuations    *directory.Evacuations // nil if the reader does not know them
+	EvacuationsAge time.Duration          // since they were last known to be the newest
 }
 
 // Plan decides whether a balancer reads the store and to which balancers it forwards announcements.
--- a/core/coordination/steering/choice.go
+++ b/core/coordination/steering/choice.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -52,6 +53,7 @@
 
 // group holds the endpoints of a service in one failure domain, and sums over them as of service.aggregatedAt.
 type group struct {
+	name      string // of the failure domain
 	domain    *domain
 	endpoints []*endpointState
 	loadSum   float64
@@ -86,7 +88,7 @@
 		}
 		g := groups[e.FailureDomain]
 		if g == nil {
-			g = &group{domain: f.domainOf(e.FailureDomain)}
+			g = &group{name: e.FailureDomain, domain: f.domainOf(e.FailureDomain)}
 			groups[e.FailureDomain] = g
 			s.groups = append(s.groups, g)
 		}
@@ -105,13 +107,13 @@
 		g.loadSum, g.weightSum, g.eligible = 0, 0, 0
 		for _, v := range g.endpoints {
 			f.suspectUnconfirmed(now, v)
-			g.loadSum += v.load(now, 0)
+			g.loadSum += f.loadOf(now, v, 0)
 			g.weightSum += v.weight()
-			if v.isEligible(now) {
+			if v.isEligible(now) && f.mayOpen(now, v) {
 				g.eligible++
 			}
 			if len(f.withEvidence) > 0 {
-				s.meanLoad += v.load(now, reporters) / float64(s.endpoints)
+				s.meanLoad += f.loadOf(now, v, reporters) / float64(s.endpoints)
 			}
 		}
 	}
@@ -121,24 +123,34 @@
 // other. The own failure domain is preferred, unless it is clearly more loaded as a whole than another one. The time it
 // takes does not depend on the number of endpoints, except that all of a failure domain are compared while those that it
 // looks at first are suspect.
-func (f *Forwarder) choose(now time.Time, name string, excluded *endpointState) *endpointState {
+func (f *Forwarder) choose(now time.Time, name string, excluded *endpointState) (*endpointState, Reason) {
 	s := f.serviceNamed(now, name)
 	var best *endpointState
-	lowest := 0.0
-	if s.own != nil {
+	lowest := math.Inf(1)
+	reason := ReasonNoEndpoint
+	if len(s.groups) > 0 && !slices.ContainsFunc(s.groups, f.isOpenGroup) {
+		reason = ReasonEvacuated
+	}
+	hasOwn := s.own != nil && f.isOpenGroup(s.own)
+	if hasOwn {
 		best, lowest = f.cheapest(now, s, s.own, f.choices(s.own), excluded)
 	}
 	other, otherLoad := f.leastLoaded(now, s)
-	if other == nil || best != nil && lowest < suspectPenalty && s.own.mean() <= SpillFactor*otherLoad+SpillMargin {
-		return best
+	if other != nil && !(hasOwn && lowest < suspectPenalty && s.own.mean() <= SpillFactor*otherLoad+SpillMargin) {
+		candidate, cost := f.cheapest(now, s, other, otherDomainChoices, excluded)
+		if best == nil || cost < max(lowest, suspectPenalty) {
+			best, lowest = candidate, cost
+		}
 	}
-	candidate, cost := f.cheapest(now, s, other, otherDomainChoices, excluded)
-	if best != nil && cost >= max(lowest, suspectPenalty) {
-		return best // the other domain has no endpoint that is not suspect
+	if best != nil && math.IsInf(lowest, 1) {
+		return nil, ReasonColdLimit
 	}
-	return candidate
+	return best, reason
 }
 
+// isOpenGroup reports whether new flows may go to the failure domain of a group.
+func (f *Forwarder) isOpenGroup(g *group) bool { return !f.isEvacuated(g.name) }
+
 // choices returns the number of endpoints of the own failure domain that are compared for a new flow: all of a few. Many
 // balancers that compare all of many would choose the same one, since they know of each other's choices by reports that
 // are up to some seconds old.
@@ -178,9 +190,12 @@
 // cost returns the cost of placing a new flow on an endpoint: the load that it would have, increased if it is suspect or
 // fails requests.
 func (f *Forwarder) cost(now time.Time, s *service, v, excluded *endpointState) float64 {
+	if !f.mayOpen(now, v) {
+		return math.Inf(1)
+	}
 	f.suspectUnconfirmed(now, v)
 	reporters := f.domainOf(f.config.FailureDomain).reporters
-	cost := v.load(now, reporters) + tieBreakNoise*f.random.Float64()/float64(max(v.endpoint.Slots, 1))
+	cost := f.loadOf(now, v, reporters) + tieBreakNoise*f.random.Float64()/float64(max(v.endpoint.Slots, 1))
 	if v.penalty > 0 {
 		// The load of an endpoint with few flows is a poor basis for the penalty, so at least the mean load is used.
 		cost += max(cost, s.meanLoad) * (1/v.weight() - 1)
@@ -199,7 +214,7 @@
 // balancer come last: their load counts as higher.
 func (f *Forwarder) leastLoaded(now time.Time, s *service) (best *group, lowest float64) {
 	for _, g := range s.groups {
-		if g == s.own {
+		if g == s.own || !f.isOpenGroup(g) {
 			continue
 		}
 		cost := g.mean()
--- a/core/coordination/steering/endpoint.go
+++ b/core/coordination/steering/endpoint.go
@@ -13,9 +13,6 @@
 	firstSuspicion = 500 * time.Millisecond
 	// maxSuspicion bounds the time until an endpoint that has recovered is tried again.
 	maxSuspicion = 8 * time.Second
-	// coldSpeed is the part of its usual speed at which an endpoint works in its first seconds. Taking it into account
-	// keeps a new endpoint from getting all new flows at once.
-	coldSpeed = 0.6
 )
 
 // endpointState is the state that this balancer keeps for one endpoint.
@@ -179,13 +176,10 @@
 	return v.failures == 0 || v.suspicion.isEligible(now) && v.openingFlows == 0
 }
 
-// load returns the flows that the endpoint would have with one more, relative to its capacity. reporters is the number
+// loadOf returns the flows that the endpoint would have with one more, relative to its capacity. reporters is the number
 // of other balancers that make the same choice and report later: flows that were recently placed here are counted once
 // more for each of them. Otherwise all balancers together would overload a new endpoint.
-func (v *endpointState) load(now time.Time, reporters int) float64 {
-	capacity := float64(max(v.endpoint.Slots, 1))
-	if now.Before(v.endpoint.WarmAt) {
-		capacity *= coldSpeed
-	}
+func (f *Forwarder) loadOf(now time.Time, v *endpointState, reporters int) float64 {
+	capacity := float64(max(v.endpoint.Slots, 1)) * f.speedOf(now, v)
 	return (float64(v.flows+1) + v.remoteFlows + float64(reporters)*v.recentlyPlaced) / capacity
 }
--- a/core/coordination/steering/report.go
+++ b/core/coordination/steering/report.go
@@ -29,6 +29,19 @@
 	Flows  int
 }
 
+// EndpointSpeed is the mean response time of one endpoint, relative to the usual one, as one balancer has observed it.
+type EndpointSpeed struct {
+	Cookie  uint32  // Cookie(ID, 0) of the endpoint
+	Samples float64 // number of answers, decayed with time
+	Ratio   float64
+}
+
+// ServiceRoom is the number of requests of one balancer on one service that have not been answered.
+type ServiceRoom struct {
+	Service     uint32 // hash of the name
+	Outstanding int
+}
+
 // Report is what a balancer sends to other balancers: its loads, and its evidence against endpoints.
 type Report struct {
 	Sender    member.Incarnation
@@ -36,6 +49,8 @@
 	Loads     []EndpointLoad
 	Silences  []uint32 // Cookie(ID, 0) of endpoints that refuse flows, or do not answer this balancer while others do
 	Outcomes  []EndpointOutcomes
+	Speeds    []EndpointSpeed
+	Rooms     []ServiceRoom
 }
 
 // receivedReport is what is kept of another balancer's latest report.
--- a/core/coordination/steering/steering.go
+++ b/core/coordination/steering/steering.go
@@ -56,6 +56,7 @@
 	IsClosing      bool // the client sends no more data, or aborts the flow
 	Sequence       uint32
 	Acknowledgment uint32 // acknowledgment number for the data received by the client; meaningless while IsOpening
+	Copy           uint32 // of an opening packet: 0 for the first one, higher for retransmissions
 	Length         int    // of the data, in bytes
 	Cookie         uint32 // 0 if there is none
 }
@@ -84,6 +85,9 @@
 	ReasonUnknownCookie Reason = "unknown_cookie" // no endpoint known here has the cookie, or more than one has
 	ReasonWrongService  Reason = "wrong_service"  // the cookie names an endpoint of another service
 	ReasonDeadEndpoint  Reason = "dead_endpoint"  // the endpoint of the flow no longer answers
+	ReasonEvacuated     Reason = "evacuated"      // all failure domains with endpoints of the service are evacuated
+	ReasonColdLimit     Reason = "cold_limit"     // only cold endpoints are left, and none may get a flow from this balancer now
+	ReasonNoRoom        Reason = "no_room"        // the service is overloaded and the route is not urgent enough
 )
 
 // Decision is the result for one packet.
@@ -255,11 +259,16 @@
 		if isRepeated {
 			excluded = f.flows[p.Flow].endpointState
 		}
-		v = f.choose(now, f.serviceOf(route, p.Flow), excluded)
-	}
-	if v == nil {
-		f.forget(p.Flow)
-		return Decision{Verdict: Reset, Reason: ReasonNoEndpoint}
+		service := f.serviceOf(route, p.Flow)
+		if !isRepeated && p.Copy == 0 && !f.admits(now, route, service, p.Flow) {
+			return Decision{Verdict: Reset, Reason: ReasonNoRoom}
+		}
+		var reason Reason
+		if v, reason = f.choose(now, service, excluded); v == nil {
+			f.forget(p.Flow)
+			return Decision{Verdict: Reset, Reason: reason}
+		}
+		f.recordOpened(now, v)
 	}
 	f.trackOpening(now, p, v)
 	d := Decision{Verdict: Forward, Endpoint: v.endpoint, Cookie: v.cookie, Load: v.flowsPerSlot()}
--- a/core/state/directory/difference.go
+++ b/core/state/directory/difference.go
@@ -39,7 +39,8 @@
 }
 
 func (r *Route) equals(o *Route) bool {
-	return r.Name == o.Name && r.Address == o.Address && slices.Equal(r.Targets, o.Targets)
+	return r.Name == o.Name && r.Address == o.Address && slices.Equal(r.Targets, o.Targets) &&
+		r.Priority == o.Priority && r.Aim == o.Aim && r.Timeout == o.Timeout
 }
 
 // Apply returns the later configuration. It reports false if c is not version From, or if To is not newer than From.
--- a/core/state/directory/directory.go
+++ b/core/state/directory/directory.go
@@ -36,6 +36,18 @@
 	Name    string
 	Address netip.AddrPort // destination of the clients' packets
 	Targets []Target       // at least one
+
+	Priority int           // of its requests; 0 is the most urgent
+	Aim      time.Duration // latency objective of its requests; 0 if not set
+	Timeout  time.Duration // of its requests; 0 if not set
+}
+
+// Service holds what the operator states of a service.
+type Service struct {
+	Name          string
+	ColdTime      time.Duration // how long an endpoint is cold after its start
+	ColdPerSecond float64       // requests that a cold endpoint bears
+	HasColdRate   bool          // whether ColdPerSecond is stated
 }
 
 // Allows reports whether the route sends new flows to a service.
@@ -47,6 +59,7 @@
 type Configuration struct {
 	Version     uint64 // rises with each change, not always by one; 0 means that there is none yet
 	Routes      []Route
+	Services    []Service
 	IdleTimeout time.Duration // flows without packets for longer may be forgotten; 0 if not set
 }
 
@@ -80,7 +93,8 @@
 // Snapshot is an immutable set of lookups over one configuration version and a set of endpoints.
 type Snapshot struct {
 	Configuration  *Configuration
-	IsPartial      bool // no list of endpoints has been received yet
+	IsPartial      bool            // no list of endpoints has been received yet
+	Evacuated      map[string]bool // failure domains to which no new flow may go
 	routes         map[netip.AddrPort]*Route
 	formerServices map[netip.AddrPort][]string // services that earlier versions used, by service address
 	cookies        map[uint32]cookieEndpoints
@@ -124,6 +138,9 @@
 	return s
 }
 
+// IsEvacuated reports whether no new flow may go to the endpoints of a failure domain.
+func (s *Snapshot) IsEvacuated(failureDomain string) bool { return s.Evacuated[failureDomain] }
+
 // RouteOf returns the route of a service address, or nil.
 func (s *Snapshot) RouteOf(address netip.AddrPort) *Route { return s.routes[address] }
 
--- a/core/state/directory/validate.go
+++ b/core/state/directory/validate.go
@@ -12,6 +12,8 @@
 	MaxTargets   = 256 // of a route
 	MaxSlots     = 1_000_000
 	MaxWeight    = 1e9 // of a target; the sum of MaxTargets weights is finite
+	MaxPriority  = 1_000
+	MaxColdRate  = 1e9 // requests per second of a cold endpoint
 )
 
 // InvalidError says why an entry cannot be used.
@@ -53,9 +55,33 @@
 			return &InvalidError{Field: "weight", Reason: fmt.Sprintf("is %g, want more than 0 and at most %g", t.Weight, MaxWeight)}
 		}
 	}
+	if r.Priority < 0 || r.Priority > MaxPriority {
+		return &InvalidError{Field: "priority", Reason: fmt.Sprintf("is %d, want 0 to %d", r.Priority, MaxPriority)}
+	}
 	return validateAddress(r.Address)
 }
 
+// Validate returns an *InvalidError if a failure domain has an invalid name.
+func (e *Evacuations) Validate() error {
+	for _, name := range e.Domains {
+		if err := validateName("failure_domain", name); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Validate returns an *InvalidError if the service cannot be used.
+func (s *Service) Validate() error {
+	if err := validateName("name", s.Name); err != nil {
+		return err
+	}
+	if !(s.ColdPerSecond >= 0 && s.ColdPerSecond <= MaxColdRate) {
+		return &InvalidError{Field: "cold_per_second", Reason: fmt.Sprintf("is %g, want 0 to %g", s.ColdPerSecond, MaxColdRate)}
+	}
+	return nil
+}
+
 func validateName(field, name string) error {
 	if name == "" || len(name) > MaxNameBytes {
 		return &InvalidError{Field: field, Reason: fmt.Sprintf("has %d bytes, want 1 to %d", len(name), MaxNameBytes)}
--- a/io/protocol/wire/peer/directory.go
+++ b/io/protocol/wire/peer/directory.go
@@ -20,6 +20,7 @@
 	maxReportEntries = 256
 	maxEndpoints     = 1 << 20
 	maxRoutes        = 1 << 20
+	maxEvacuations   = 1 << 10
 )
 
 // DirectoryUpdate holds the configuration and the endpoints of a balancer that are newer than those of a requester,
@@ -27,10 +28,57 @@
 type DirectoryUpdate struct {
 	Configuration *directory.Configuration // in force; nil if the requester's is as new, or if Difference is set
 	Difference    *directory.Difference    // from the requester's configuration; used instead of Configuration
+	Era           uint64                   // of Revision and the changes
 	Revision      uint64                   // 0 if the requester's endpoints are as new
 	ChangesOnly   bool                     // whether Changes is used instead of Endpoints
 	Changes       []discovery.Change       // all after the requester's revision
 	Endpoints     []directory.Endpoint     // all that are registered at Revision
+	LapsedFor     time.Duration            // how long endpoints whose registration lapsed during an outage stay usable
+
+	Evacuations    *directory.Evacuations // nil if unknown
+	EvacuationsAge time.Duration          // since they were last known to be the newest
+}
+
+// DirectoryQuery says what the balancer that asks for a DirectoryUpdate has.
+type DirectoryQuery struct {
+	Version     uint64             // of its configuration
+	Endpoints   directory.Position // of its endpoints
+	Evacuations directory.Position // of its evacuations
+}
+
+// NewDirectoryRequest converts a query to its message.
+func NewDirectoryRequest(q DirectoryQuery) *DirectoryRequest {
+	return &DirectoryRequest{
+		Version: q.Version, Era: q.Endpoints.Era, Revision: q.Endpoints.Revision,
+		EvacuationsAt: &Evacuations{Era: q.Evacuations.Era, Revision: q.Evacuations.Revision},
+	}
+}
+
+// Core converts the message to a query.
+func (x *DirectoryRequest) Core() DirectoryQuery {
+	return DirectoryQuery{
+		Version:     x.GetVersion(),
+		Endpoints:   directory.Position{Era: x.GetEra(), Revision: x.GetRevision()},
+		Evacuations: directory.Position{Era: x.GetEvacuationsAt().GetEra(), Revision: x.GetEvacuationsAt().GetRevision()},
+	}
+}
+
+func newEvacuations(e *directory.Evacuations) *Evacuations {
+	if e == nil {
+		return nil
+	}
+	return &Evacuations{Era: e.Era, Revision: e.Revision, FailureDomains: e.Domains}
+}
+
+func (c *checker) evacuations(x *Evacuations) *directory.Evacuations {
+	if x == nil || !c.checkLimit("evacuations", len(x.GetFailureDomains()), maxEvacuations) {
+		return nil
+	}
+	e := &directory.Evacuations{
+		Position: directory.Position{Era: x.GetEra(), Revision: x.GetRevision()}, Domains: x.GetFailureDomains(),
+	}
+	c.checkEntry("evacuations", e.Validate())
+	return e
 }
 
 func toMilliseconds(d time.Duration) uint32 {
@@ -45,7 +93,8 @@
 	x := &Announcement{
 		Reader: uint64(a.Reader), Sequence: a.Sequence, Version: a.Version, VersionAgeMs: toMilliseconds(a.VersionAge),
 		Revision: a.Revision, RevisionAgeMs: toMilliseconds(a.RevisionAge), Base: a.Base,
-		LapsedMs: toMilliseconds(a.LapsedFor),
+		LapsedMs: toMilliseconds(a.LapsedFor), Era: a.Era, Evacuations: newEvacuations(a.Evacuations),
+		EvacuationsAgeMs: toMilliseconds(a.EvacuationsAge),
 	}
 	x.Changes = newChanges(a.Changes, now)
 	return proto.MarshalOptions{}.MarshalAppend(dst, x)
@@ -95,7 +144,9 @@
 		Reader: member.Incarnation(x.GetReader()), Sequence: x.GetSequence(), Version: x.GetVersion(),
 		VersionAge: fromMilliseconds(x.GetVersionAgeMs()), Revision: x.GetRevision(),
 		RevisionAge: fromMilliseconds(x.GetRevisionAgeMs()), Base: x.GetBase(), LapsedFor: fromMilliseconds(x.GetLapsedMs()),
+		Era: x.GetEra(), EvacuationsAge: fromMilliseconds(x.GetEvacuationsAgeMs()),
 	}
+	a.Evacuations = c.evacuations(x.GetEvacuations())
 	a.Changes = c.changes(x.GetChanges(), maxChanges, now)
 	if c.err != nil {
 		return nil, c.err
@@ -137,7 +188,11 @@
 
 // NewDirectoryReply converts a directory to its message.
 func NewDirectoryReply(d *DirectoryUpdate, now time.Time) *DirectoryReply {
-	x := &DirectoryReply{Revision: d.Revision, ChangesOnly: d.ChangesOnly, Changes: newChanges(d.Changes, now)}
+	x := &DirectoryReply{
+		Era: d.Era, Revision: d.Revision, ChangesOnly: d.ChangesOnly, Changes: newChanges(d.Changes, now),
+		LapsedMs: toMilliseconds(d.LapsedFor), Evacuations: newEvacuations(d.Evacuations),
+		EvacuationsAgeMs: toMilliseconds(d.EvacuationsAge),
+	}
 	for i := range d.Endpoints {
 		x.Endpoints = append(x.Endpoints, newEndpoint(&d.Endpoints[i], now))
 	}
@@ -158,19 +213,31 @@
 func newConfiguration(c *directory.Configuration, routes []directory.Route) *Configuration {
 	x := &Configuration{Version: c.Version, IdleTimeoutMs: toMilliseconds(c.IdleTimeout)}
 	for _, r := range routes {
-		route := &Route{Name: r.Name, Address: encodeAddress(r.Address)}
+		route := &Route{
+			Name: r.Name, Address: encodeAddress(r.Address), Priority: uint32(r.Priority),
+			AimMs: toMilliseconds(r.Aim), TimeoutMs: toMilliseconds(r.Timeout),
+		}
 		for _, t := range r.Targets {
 			route.Targets = append(route.Targets, &Target{Service: t.Service, Weight: t.Weight})
 		}
 		x.Routes = append(x.Routes, route)
 	}
+	for _, v := range c.Services {
+		x.Services = append(x.Services, &Service{
+			Name: v.Name, ColdMs: toMilliseconds(v.ColdTime), ColdPerSecond: v.ColdPerSecond, HasColdRate: v.HasColdRate,
+		})
+	}
 	return x
 }
 
 // Core checks the message and converts it to a directory. The error is a *DecodeError.
 func (x *DirectoryReply) Core(now time.Time) (*DirectoryUpdate, error) {
 	c := checker{message: "DirectoryReply"}
-	d := &DirectoryUpdate{Revision: x.GetRevision(), ChangesOnly: x.GetChangesOnly()}
+	d := &DirectoryUpdate{
+		Era: x.GetEra(), Revision: x.GetRevision(), ChangesOnly: x.GetChangesOnly(),
+		LapsedFor: fromMilliseconds(x.GetLapsedMs()), EvacuationsAge: fromMilliseconds(x.GetEvacuationsAgeMs()),
+	}
+	d.Evacuations = c.evacuations(x.GetEvacuations())
 	d.Changes = c.changes(x.GetChanges(), maxEndpoints, now)
 	if !c.checkLimit("endpoints", len(x.GetEndpoints()), maxEndpoints) {
 		return nil, c.err
@@ -199,13 +266,28 @@
 		return nil
 	}
 	for _, route := range x.GetRoutes() {
-		y := directory.Route{Name: route.GetName(), Address: c.address("route.address", route.GetAddress(), true)}
+		y := directory.Route{
+			Name: route.GetName(), Address: c.address("route.address", route.GetAddress(), true),
+			Priority: int(min(route.GetPriority(), directory.MaxPriority)), Aim: fromMilliseconds(route.GetAimMs()),
+			Timeout: fromMilliseconds(route.GetTimeoutMs()),
+		}
 		for _, t := range route.GetTargets() {
 			y.Targets = append(y.Targets, directory.Target{Service: t.GetService(), Weight: t.GetWeight()})
 		}
 		c.checkEntry("route", y.Validate())
 		r.Routes = append(r.Routes, y)
 	}
+	if !c.checkLimit("configuration.services", len(x.GetServices()), maxRoutes) {
+		return nil
+	}
+	for _, v := range x.GetServices() {
+		y := directory.Service{
+			Name: v.GetName(), ColdTime: fromMilliseconds(v.GetColdMs()), ColdPerSecond: v.GetColdPerSecond(),
+			HasColdRate: v.GetHasColdRate(),
+		}
+		c.checkEntry("service", y.Validate())
+		r.Services = append(r.Services, y)
+	}
 	return r
 }
 
@@ -235,6 +317,14 @@
 	for _, o := range r.Outcomes {
 		x.Outcomes = append(x.Outcomes, &Outcome{Cookie: o.Cookie, GoodTenths: toTenths(o.Good), BadTenths: toTenths(o.Bad)})
 	}
+	for _, s := range r.Speeds {
+		x.Speeds = append(x.Speeds, &Speed{
+			Cookie: s.Cookie, SampleTenths: toTenths(s.Samples), RatioHundredths: uint32(math.Round(100 * min(max(s.Ratio, 0), maxReportedRatio))),
+		})
+	}
+	for _, v := range r.Rooms {
+		x.Rooms = append(x.Rooms, &Room{Service: v.Service, Outstanding: uint32(min(max(v.Outstanding, 0), maxReportedFlows))})
+	}
 	return proto.MarshalOptions{}.MarshalAppend(dst, x)
 }
 
@@ -260,6 +350,8 @@
 	}
 	c.checkLimit("silences", len(x.GetSilences()), maxReportEntries)
 	c.checkLimit("outcomes", len(x.GetOutcomes()), maxReportEntries)
+	c.checkLimit("speeds", len(x.GetSpeeds()), maxReportEntries)
+	c.checkLimit("rooms", len(x.GetRooms()), maxReportEntries)
 	if c.err != nil {
 		return nil, c.err
 	}
@@ -274,9 +366,21 @@
 			Cookie: o.GetCookie(), Good: fromTenths(o.GetGoodTenths()), Bad: fromTenths(o.GetBadTenths()),
 		})
 	}
+	for _, s := range x.GetSpeeds() {
+		r.Speeds = append(r.Speeds, steering.EndpointSpeed{
+			Cookie: s.GetCookie(), Samples: fromTenths(s.GetSampleTenths()), Ratio: min(float64(s.GetRatioHundredths())/100, maxReportedRatio),
+		})
+	}
+	for _, v := range x.GetRooms() {
+		r.Rooms = append(r.Rooms, steering.ServiceRoom{Service: v.GetService(), Outstanding: int(min(v.GetOutstanding(), maxReportedFlows))})
+	}
 	return r, nil
 }
 
+// maxReportedRatio is the largest response time, relative to the usual one, that a peer may report; larger ones are
+// reduced to it.
+const maxReportedRatio = 100
+
 // maxReportedFlows is the largest number of flows that a peer may report for one endpoint; larger numbers are reduced
 // to it.
 const maxReportedFlows = 1 << 20
--- a/io/transport/direct/direct.go
+++ b/io/transport/direct/direct.go
@@ -45,6 +45,13 @@
 	LeaveLimit      time.Duration    // within which endpoints that leave must get no new flows; 0 selects a default
 	DrainLimit      time.Duration    // from the signal to the forced end of the process
 	FlowAge         time.Duration    // longest life of a flow
+
+	EvacuateLimit time.Duration // within which an evacuation must take effect; 0 if there are none
+	ColdOvershoot float64       // factor of the rate of a cold endpoint that all balancers together may reach; 0 if there is no limit
+	ColdSlack     float64       // flows in a second that are allowed beyond that
+	LearnsSpeed   bool          // whether new flows follow the speed of endpoints
+	Processor     float64       // cores of this host; 0 if unknown
+	LinkMbps      float64       // bandwidth of this host's link; 0 if unknown
 }
 
 // Codec decodes and encodes packets. Its methods may be called concurrently.
--- a/io/transport/direct/peers.go
+++ b/io/transport/direct/peers.go
@@ -11,6 +11,7 @@
 	"cornellb/core/coordination/membership"
 	"cornellb/core/coordination/spread"
 	"cornellb/core/coordination/steering"
+	"cornellb/core/state/directory"
 	"cornellb/core/state/member"
 	"cornellb/core/state/metric"
 	"cornellb/io/transport/peer"
@@ -248,7 +249,9 @@
 	p.mu.Lock()
 	version, revision := p.state.Version(), p.state.Revision()
 	p.mu.Unlock()
-	d, err := h.transport.FetchDirectory(ctx, from, version, revision)
+	d, err := h.transport.FetchDirectory(ctx, from, wire.DirectoryQuery{
+		Version: version, Endpoints: directory.Position{Revision: revision},
+	})
 	if err != nil {
 		p.metrics.Count(metric.StoreCalls, "balancer failed", 1)
 		p.log.Debug("configuration and endpoints not fetched from balancer", "address", from.String(), "error", err)
@@ -278,7 +281,8 @@
 
 // HandleDirectory implements peer.DirectoryHandler. It returns what is newer than the caller's version and revision:
 // the changes if they are still kept, and otherwise everything.
-func (h *peers) HandleDirectory(_ context.Context, version, revision uint64) (*wire.DirectoryUpdate, error) {
+func (h *peers) HandleDirectory(_ context.Context, q wire.DirectoryQuery) (*wire.DirectoryUpdate, error) {
+	version, revision := q.Version, q.Endpoints.Revision
 	p := h.process
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/io/transport/peer/call.go
+++ b/io/transport/peer/call.go
@@ -107,12 +107,12 @@
 	return &page, nil
 }
 
-// FetchDirectory asks a peer for a configuration and endpoints that are newer than a version and a revision. The error
+// FetchDirectory asks a peer for a configuration and endpoints that are newer than those of the query. The error
 // is a *CallError.
-func (t *Transport) FetchDirectory(ctx context.Context, to netip.AddrPort, version, revision uint64) (
+func (t *Transport) FetchDirectory(ctx context.Context, to netip.AddrPort, q wire.DirectoryQuery) (
 	*wire.DirectoryUpdate, error,
 ) {
-	x := &wire.Request{Body: &wire.Request_Directory{Directory: &wire.DirectoryRequest{Version: version, Revision: revision}}}
+	x := &wire.Request{Body: &wire.Request_Directory{Directory: wire.NewDirectoryRequest(q)}}
 	reply, err := t.call(ctx, to, KindDirectory, x)
 	if err != nil {
 		return nil, err
@@ -310,7 +310,7 @@
 }
 
 func (t *Transport) directory(ctx context.Context, x *wire.DirectoryRequest) (*wire.Reply, error) {
-	d, err := t.handlers.Directory.HandleDirectory(ctx, x.GetVersion(), x.GetRevision())
+	d, err := t.handlers.Directory.HandleDirectory(ctx, x.Core())
 	if err != nil {
 		return nil, err
 	}
--- a/io/transport/peer/peer_test.go
+++ b/io/transport/peer/peer_test.go
@@ -338,7 +338,7 @@
 
 func (a *announcements) HandleLoadReport(netip.AddrPort, *steering.Report) {}
 
-func (a *announcements) HandleDirectory(context.Context, uint64, uint64) (*wire.DirectoryUpdate, error) {
+func (a *announcements) HandleDirectory(context.Context, wire.DirectoryQuery) (*wire.DirectoryUpdate, error) {
 	return &wire.DirectoryUpdate{}, nil
 }
 
--- a/io/transport/peer/transport.go
+++ b/io/transport/peer/transport.go
@@ -55,7 +55,7 @@
 type DirectoryHandler interface {
 	HandleAnnouncement(from netip.AddrPort, a *spread.Announcement)
 	HandleLoadReport(from netip.AddrPort, r *steering.Report)
-	HandleDirectory(ctx context.Context, version, revision uint64) (*wire.DirectoryUpdate, error)
+	HandleDirectory(ctx context.Context, q wire.DirectoryQuery) (*wire.DirectoryUpdate, error)
 }
 
 // Handlers receive messages and requests. Gossip and Members are required. Datagrams for a missing handler are dropped
