Use no endpoint entry that lacks a field or contradicts the running endpoint

Requests were run by the wrong service.

Change: an entry without all fields of an endpoint's entry, or with one of another type, names no endpoint. An entry that gives a known endpoint another service or address without a later start counts as a removal, also for other balancers.

--- a/core/coordination/discovery/discovery.go
+++ b/core/coordination/discovery/discovery.go
@@ -121,6 +121,9 @@
 	}
 	listed := make(map[string]bool, len(endpoints))
 	for i := range endpoints {
+		if s.contradicts(&endpoints[i]) {
+			continue
+		}
 		listed[endpoints[i].ID] = true
 		s.put(&endpoints[i], revision)
 	}
@@ -213,7 +216,7 @@
 	if !s.isListed || s.revision < after || s.revision >= revision {
 		return nil, false
 	}
-	for _, c := range changes {
+	for _, c := range s.dropContradictions(changes) {
 		if s.applyChange(now, c) {
 			applied = append(applied, c)
 		}
