Give the duties of a failure domain to its strong hosts

Cause: the reader of the store and the relays of announcements were picked by hash alone, so that a host of 0.061 cores and 10 Mbit/s read and relayed beside hosts of 0.8 cores and 200 Mbit/s, also while it was slow.

Change: members announce a weight from the processor and link in their settings; ranks go by weight first. A host whose ticks are late for 3 s announces the lowest weight until they have been in time for 10 s.

Result: TestHostWeight, TestReaderHasRoom and TestSlowness; tests of spread, membership, configuration, peer and direct pass. Equal hosts keep their ranks.

--- a/core/coordination/membership/membership.go
+++ b/core/coordination/membership/membership.go
@@ -84,7 +84,8 @@
 	Address        netip.AddrPort
 	Incarnation    member.Incarnation // random and not 0
 	StartedAt      time.Time
-	BytesPerSecond int // of gossip datagrams, with their headers; 0 means DefaultBytesPerSecond
+	Weight         uint8 // see member.Host
+	BytesPerSecond int   // of gossip datagrams, with their headers; 0 means DefaultBytesPerSecond
 }
 
 // Stats counts events since the start of the machine.
@@ -157,7 +158,7 @@
 		random: random,
 		self: member.Host{
 			ID: c.ID, FailureDomain: c.FailureDomain, Incarnation: c.Incarnation, Address: c.Address,
-			StartedAt: c.StartedAt.UnixMilli(),
+			StartedAt: c.StartedAt.UnixMilli(), Weight: c.Weight,
 		},
 		now:         now,
 		lastTick:    now,
@@ -203,6 +204,15 @@
 	}
 }
 
+// SetWeight changes the weight of this process for duties, and announces it.
+func (m *Machine) SetWeight(weight uint8) {
+	if weight == m.self.Weight {
+		return
+	}
+	m.self.Weight = weight
+	m.setSelfState(m.self.State)
+}
+
 // Leave marks the process as leaving: it owns no pool shards from now on, but stays reachable and answers pings.
 func (m *Machine) Leave() {
 	if m.self.State != member.StateAlive {
--- a/core/coordination/membership/merge.go
+++ b/core/coordination/membership/merge.go
@@ -171,6 +171,7 @@
 	wasGone := isGone(r.host.State)
 	r.host.Refutation = h.Refutation
 	r.host.StartedAt = h.StartedAt
+	r.host.Weight = h.Weight
 	key := hostKeyOf(r.host)
 	current := m.newestByKey[key]
 	switch {
--- a/core/coordination/membership/message.go
+++ b/core/coordination/membership/message.go
@@ -54,7 +54,7 @@
 func HostSize(h member.Host) int {
 	return 1 + 2 + // header and length of the embedded message
 		2 + len(h.ID) + 2 + len(h.FailureDomain) + 9 + addressSize(h.Address) + 2 +
-		1 + varintSize(uint64(h.Refutation)) + 1 + varintSize(uint64(h.StartedAt))
+		1 + varintSize(uint64(h.Refutation)) + 1 + varintSize(uint64(h.StartedAt)) + 1 + varintSize(uint64(h.Weight))
 }
 
 // addressSize returns the encoded size of an address field: its header, the IP address and the port.
--- a/core/coordination/spread/spread.go
+++ b/core/coordination/spread/spread.go
@@ -3,7 +3,7 @@
 //
 // # Rules
 //
-// The balancer with the highest rendezvous rank of a failure domain is its reader: it reads the store continuously and
+// The balancer with the highest rendezvous rank among those of the highest weight of a failure domain is its reader: it reads the store continuously and
 // announces its state, also when nothing has changed. Announcements are forwarded along a tree that each balancer
 // computes from its own view of the members. Every balancer records the time at which its state was last known to be
 // the newest. If that time is too long ago, for whatever reason, the balancer reads the store itself and announces the
@@ -22,6 +22,7 @@
 package spread
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -95,6 +96,8 @@
 // SetView replaces the view of the members.
 func (p *Plan) SetView(v *member.View) {
 	p.members = configuration.RankReaders(v, p.failureDomain)
+	// Members with the same weight keep their rendezvous rank. The first ones read the store and relay most announcements.
+	slices.SortStableFunc(p.members, func(a, b member.Host) int { return cmp.Compare(b.DutyWeight(), a.DutyWeight()) })
 	p.rank = slices.IndexFunc(p.members, func(h member.Host) bool { return h.Incarnation == p.self })
 	for reader := range p.lastSequences {
 		if _, ok := v.Lookup(reader); !ok {
--- a/core/state/member/member.go
+++ b/core/state/member/member.go
@@ -49,6 +49,18 @@
 	State         State
 	Refutation    uint32 // incremented by the member itself to refute a wrong state that others hold for it
 	StartedAt     int64  // start of the process, Unix time in ms; orders processes with the same ID and address
+	Weight        uint8  // fitness for duties such as reading the store, 1 to FullWeight; 0 counts as FullWeight
+}
+
+// FullWeight is the weight of a host that is fit for all duties.
+const FullWeight = 100
+
+// DutyWeight returns the weight of the host for duties that some members do for others.
+func (h Host) DutyWeight() uint8 {
+	if h.Weight == 0 || h.Weight > FullWeight {
+		return FullWeight
+	}
+	return h.Weight
 }
 
 // CanOwn reports whether the member may own pool shards.
--- a/io/protocol/wire/peer/decode.go
+++ b/io/protocol/wire/peer/decode.go
@@ -112,7 +112,7 @@
 func NewHost(h member.Host) *Host {
 	return &Host{
 		Id: h.ID, FailureDomain: h.FailureDomain, Incarnation: uint64(h.Incarnation), Address: encodeAddress(h.Address),
-		State: HostState(h.State), Refutation: h.Refutation, StartedAt: uint64(max(h.StartedAt, 0)),
+		State: HostState(h.State), Refutation: h.Refutation, StartedAt: uint64(max(h.StartedAt, 0)), Weight: uint32(h.Weight),
 	}
 }
 
@@ -126,6 +126,7 @@
 		Address:       c.unicastAddress("address", x.GetAddress(), true),
 		Refutation:    x.GetRefutation(),
 		StartedAt:     int64(x.GetStartedAt()),
+		Weight:        uint8(min(x.GetWeight(), member.FullWeight)),
 	}
 	if h.Incarnation == 0 {
 		c.fail("incarnation", ReasonMissing)
--- a/io/transport/direct/direct.go
+++ b/io/transport/direct/direct.go
@@ -230,6 +230,7 @@
 		p.update(func(now time.Time) { p.forwarder.Tick(now) })
 		p.socket.sendResets()
 		p.startProbes()
+		p.peers.updateWeight(p.adapters.Clock.Now())
 		p.peers.countControlBytes()
 		p.logHealthEvents()
 	}
--- a/io/transport/direct/peers.go
+++ b/io/transport/direct/peers.go
@@ -49,8 +49,10 @@
 	reachable         int
 	lastCounters      peer.Counters // as last copied into the metrics; used only by the goroutine of tick
 	self              member.Host
-	reportNow         chan struct{} // requests a report before the next regular one
-	fetching          chan struct{} // holds a token while a directory is fetched
+	slowness          *spread.Slowness // of this host; used only by the goroutine of tick, as weight
+	weight            uint8            // announced last
+	reportNow         chan struct{}    // requests a report before the next regular one
+	fetching          chan struct{}    // holds a token while a directory is fetched
 }
 
 // joinPeers opens the links to other balancers and joins the membership group, if there is a peer address. It does not
@@ -60,7 +62,9 @@
 	h := &peers{process: p, fetching: make(chan struct{}, 1), reportNow: make(chan struct{}, 1), self: member.Host{
 		ID: s.ID, FailureDomain: s.FailureDomain, Address: s.PeerAddress,
 		Incarnation: member.Incarnation(rand.Uint64() | 1), // 0 means no incarnation
+		Weight:      spread.HostWeight(s.Processor, s.LinkMbps),
 	}}
+	h.slowness, h.weight = spread.NewSlowness(tickInterval), h.self.Weight
 	h.plan = spread.New(h.self.Incarnation, s.FailureDomain, s.limits())
 	p.peers = h // before Listen, after which messages arrive
 	if !s.PeerAddress.IsValid() {
@@ -75,7 +79,7 @@
 	}
 	h.runner.Start(h.transport, membership.Config{
 		ID: s.ID, FailureDomain: s.FailureDomain, Address: s.PeerAddress, Incarnation: h.self.Incarnation,
-		StartedAt: p.adapters.Clock.Now(), BytesPerSecond: gossipBytes,
+		StartedAt: p.adapters.Clock.Now(), BytesPerSecond: gossipBytes, Weight: h.self.Weight,
 	}, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	h.runner.SetHints(s.Peers, nil)
 	p.work.Go(h.sendReports)
@@ -158,6 +162,18 @@
 	}
 }
 
+// updateWeight passes the duties of this balancer on to others while its host is slow.
+func (h *peers) updateWeight(now time.Time) {
+	isSlow := h.slowness.Tick(now)
+	weight := h.slowness.Weight(h.self.Weight)
+	if h.runner == nil || weight == h.weight {
+		return
+	}
+	h.weight = weight
+	h.runner.SetWeight(weight)
+	h.process.log.Info("weight for duties changed", "weight", weight, "is_slow", isSlow)
+}
+
 // countControlBytes adds the control bytes sent to other balancers since the last call to the metrics.
 func (h *peers) countControlBytes() {
 	if h.transport == nil {
--- a/io/transport/peer/runner.go
+++ b/io/transport/peer/runner.go
@@ -143,6 +143,11 @@
 	r.submit(func(m *membership.Machine) { m.SetTableVersion(version) })
 }
 
+// SetWeight changes the weight of this process for duties.
+func (r *Runner) SetWeight(weight uint8) {
+	r.submit(func(m *membership.Machine) { m.SetWeight(weight) })
+}
+
 // Leave marks the process as leaving.
 func (r *Runner) Leave() { r.submit(func(m *membership.Machine) { m.Leave() }) }
 
