Follow the store through restores from a copy

Cause: a restored store goes back to older revisions and uses them again for other changes. Balancers that had seen higher ones ignored the lists of the restored store, or applied changes that do not follow from what they knew.

Change: the client passes the era in the header Store-Era on. Positions of era and revision replace revisions in discovery, the store adapter, the reader, announcements and fetches. An endpoint that had begun to leave stays so until it writes its entry again. The stand-in store can be restored, the soak does so.

--- a/core/coordination/discovery/discovery.go
+++ b/core/coordination/discovery/discovery.go
@@ -7,14 +7,15 @@
 // state have no effect. An endpoint that is no longer registered gets no new flows, but stays known for FlowAge for the
 // sake of its open flows. While the store is unavailable, registrations of live endpoints lapse. Such endpoints may get
 // new flows until ReregistrationTime after the store is available again; those that have not registered again by then
-// are gone.
+// are gone. When the store is restored from a copy, the era in its positions rises and its revisions start anew, see
+// eras.go.
 //
 // # Usage
 //
 //	s := discovery.New(discovery.Config{FlowAge: time.Minute, ReregistrationTime: 2 * time.Second})
 //	s.Configure(now, configuration)
-//	s.Replace(now, endpoints, revision)
-//	applied, ok := s.Apply(now, changes, revision, newRevision)
+//	s.Replace(now, endpoints, position)
+//	applied, ok := s.Apply(now, changes, position, newPosition)
 //	if snapshot, ok := s.Snapshot(now); ok {
 //		// publish it: something has changed since the last call
 //	}
@@ -35,22 +36,25 @@
 type Config struct {
 	FlowAge            time.Duration // longest life of a flow; endpoints that are gone stay known for this time
 	ReregistrationTime time.Duration // after an outage of the store, in which lapsed endpoints may register again
+	LeaveTime          time.Duration // within which it must be known that an endpoint leaves
 }
 
 // Change is one change of a registration.
 type Change struct {
 	ID       string
 	Endpoint *directory.Endpoint // nil if the registration was removed or does not describe a usable endpoint
-	Revision uint64              // revision of the store at the change
+	Revision uint64              // revision of the store at the change, in the era of the position that goes with it
 }
 
 // entry is one endpoint with the state of its registration.
 type entry struct {
 	endpoint     *directory.Endpoint // replaced and never modified, because snapshots share it
-	revision     uint64
+	position     directory.Position  // of the newest list or change that concerned it
 	isRegistered bool
-	usableUntil  time.Time // set after the registration lapsed; zero if the endpoint is registered or gone
-	forgetAt     time.Time // set for endpoints that are not registered
+	usableUntil  time.Time           // set after the registration lapsed; zero if the endpoint is registered or gone
+	forgetAt     time.Time           // set for endpoints that are not registered
+	listed       *directory.Endpoint // as registered, while the endpoint known before a restore is held; else nil
+	heldUntil    time.Time           // end of that
 }
 
 // State is what one balancer knows of the configuration and the endpoints. It is not safe for concurrent use.
@@ -60,14 +64,14 @@
 	versions       versions
 	formerServices map[netip.AddrPort]map[string]time.Time // services of earlier versions, with their expiry
 	entries        map[string]*entry
-	revision       uint64    // of the newest list or change
-	isListed       bool      // a full list was received
-	isStoreDown    bool      // the store does not answer
-	lapsedUntil    time.Time // until then, endpoints whose registration lapses stay usable
-	isDirty        bool      // changed since the last Snapshot
-	recent         []Change  // changes after recentBase, newest last
-	recentBase     uint64
-	nextExpiry     time.Time // zero if nothing expires
+	position       directory.Position // of the newest list or change
+	isListed       bool               // a full list was received
+	isStoreDown    bool               // the store does not answer
+	lapsedUntil    time.Time          // until then, endpoints whose registration lapses stay usable
+	isDirty        bool               // changed since the last Snapshot
+	recent         []Change           // changes after recentBase, newest last
+	recentBase     uint64             // in the era of position
+	nextExpiry     time.Time          // zero if nothing expires
 }
 
 // New returns a State without a configuration and without endpoints.
@@ -84,8 +88,8 @@
 // Configuration returns the configuration in force.
 func (s *State) Configuration() *directory.Configuration { return s.configuration }
 
-// Revision returns the store's revision up to which endpoints are known.
-func (s *State) Revision() uint64 { return s.revision }
+// Position returns the store's position up to which endpoints are known.
+func (s *State) Position() directory.Position { return s.position }
 
 // IsComplete reports whether there is a configuration and a list of endpoints.
 func (s *State) IsComplete() bool { return s.isListed && s.configuration.Version != 0 }
@@ -113,23 +117,33 @@
 	return true
 }
 
-// Replace replaces the registered endpoints by the full list at a revision of the store. It reports false for a list
+// Replace replaces the registered endpoints by the full list at a position of the store. It reports false for a list
 // that is older than the known state, which it ignores.
-func (s *State) Replace(now time.Time, endpoints []directory.Endpoint, revision uint64) bool {
-	if s.isListed && revision < s.revision {
+func (s *State) Replace(now time.Time, endpoints []directory.Endpoint, at directory.Position) bool {
+	return s.replace(now, endpoints, at, s.config.ReregistrationTime)
+}
+
+// replace is Replace. lapsedFor is how long endpoints may take to register again if the era is higher than the known one.
+func (s *State) replace(now time.Time, endpoints []directory.Endpoint, at directory.Position, lapsedFor time.Duration) bool {
+	if s.isListed && at.Compare(s.position) < 0 {
 		return false
 	}
+	if s.isListed && at.Era > s.position.Era {
+		s.beginEra(now, lapsedFor)
+	}
 	listed := make(map[string]bool, len(endpoints))
 	for i := range endpoints {
 		listed[endpoints[i].ID] = true
-		s.put(&endpoints[i], revision)
+		if e := s.entries[endpoints[i].ID]; e == nil || !s.holdKnown(e, &endpoints[i], at) {
+			s.put(&endpoints[i], at)
+		}
 	}
 	for id, e := range s.entries {
 		if e.isRegistered && !listed[id] {
-			s.remove(now, e, revision)
+			s.remove(now, e, at)
 		}
 	}
-	s.revision, s.recent, s.recentBase = revision, nil, revision
+	s.position, s.recent, s.recentBase = at, nil, at.Revision
 	s.isListed, s.isDirty = true, true
 	return true
 }
@@ -152,21 +166,23 @@
 	}
 }
 
-// RecentChanges returns the newest changes, as many as an announcement holds, and the revision after which they begin.
-func (s *State) RecentChanges() (changes []Change, after uint64) {
+// RecentChanges returns the newest changes, as many as an announcement holds, and the position after which they begin.
+func (s *State) RecentChanges() (changes []Change, after directory.Position) {
 	first := max(len(s.recent)-maxAnnounced, 0)
-	if first == 0 {
-		return slices.Clip(s.recent), s.recentBase
+	after = directory.Position{Era: s.position.Era, Revision: s.recentBase}
+	if first > 0 {
+		after.Revision = s.recent[first-1].Revision
 	}
-	return slices.Clip(s.recent[first:]), s.recent[first-1].Revision
+	return slices.Clip(s.recent[first:]), after
 }
 
-// ChangesSince returns all changes after a revision. It reports false if some of them are no longer kept.
-func (s *State) ChangesSince(revision uint64) ([]Change, bool) {
-	if !s.isListed || revision < s.recentBase {
+// ChangesSince returns all changes after a position. It reports false if some of them are no longer kept, or if the
+// position is of another era.
+func (s *State) ChangesSince(after directory.Position) ([]Change, bool) {
+	if !s.isListed || after.Era != s.position.Era || after.Revision < s.recentBase {
 		return nil, false
 	}
-	first, _ := slices.BinarySearchFunc(s.recent, revision+1, func(c Change, r uint64) int {
+	first, _ := slices.BinarySearchFunc(s.recent, after.Revision+1, func(c Change, r uint64) int {
 		return cmp.Compare(c.Revision, r)
 	})
 	return slices.Clip(s.recent[first:]), true
@@ -195,22 +211,23 @@
 	return n
 }
 
-// Registered returns the endpoints that are registered as of Revision.
+// Registered returns the endpoints that are registered as of Position.
 func (s *State) Registered() []directory.Endpoint {
 	list := make([]directory.Endpoint, 0, len(s.entries))
 	for _, e := range s.entries {
 		if e.isRegistered {
-			list = append(list, *e.endpoint)
+			list = append(list, *e.registered())
 		}
 	}
 	return list
 }
 
-// Apply applies the changes after one revision of the store up to another, in their order. It returns those that were
-// new. It reports false, without effect, if the known revision is older than after, so that changes between are
-// missing, or is not older than revision, so that nothing can be new.
-func (s *State) Apply(now time.Time, changes []Change, after, revision uint64) (applied []Change, ok bool) {
-	if !s.isListed || s.revision < after || s.revision >= revision {
+// Apply applies the changes after one position of the store up to another, in their order. It returns those that were
+// new. It reports false, without effect, if the known position is older than after, so that changes between are
+// missing, is not older than at, so that nothing can be new, or is of another era than either.
+func (s *State) Apply(now time.Time, changes []Change, after, at directory.Position) (applied []Change, ok bool) {
+	if !s.isListed || after.Era != s.position.Era || at.Era != s.position.Era ||
+		s.position.Revision < after.Revision || s.position.Revision >= at.Revision {
 		return nil, false
 	}
 	for _, c := range changes {
@@ -219,20 +236,21 @@
 		}
 	}
 	s.keepRecent(applied)
-	s.revision = revision
+	s.position = at
 	return applied, true
 }
 
 // applyChange applies one change. It reports false if the change is no newer than the known state or has no effect.
 func (s *State) applyChange(now time.Time, c Change) bool {
 	e := s.entries[c.ID]
+	at := directory.Position{Era: s.position.Era, Revision: c.Revision}
 	switch {
-	case e != nil && c.Revision <= e.revision || c.Revision <= s.revision:
+	case e != nil && at.Compare(e.position) <= 0 || c.Revision <= s.position.Revision:
 		return false
 	case c.Endpoint != nil:
-		s.put(c.Endpoint, c.Revision)
+		s.put(c.Endpoint, at)
 	case e != nil && e.isRegistered:
-		s.remove(now, e, c.Revision)
+		s.remove(now, e, at)
 	default:
 		return false
 	}
@@ -240,22 +258,22 @@
 	return true
 }
 
-func (s *State) put(endpoint *directory.Endpoint, revision uint64) {
+func (s *State) put(endpoint *directory.Endpoint, at directory.Position) {
 	e := s.entries[endpoint.ID]
 	if e == nil {
 		e = &entry{}
 		s.entries[endpoint.ID] = e
 	}
-	if revision < e.revision {
+	if at.Compare(e.position) < 0 {
 		return // a change newer than the list has been applied already
 	}
 	known := *endpoint
-	e.endpoint, e.revision, e.isRegistered = &known, revision, true
+	e.endpoint, e.position, e.isRegistered, e.listed = &known, at, true, nil
 	e.usableUntil, e.forgetAt = time.Time{}, time.Time{}
 }
 
-func (s *State) remove(now time.Time, e *entry, revision uint64) {
-	e.isRegistered, e.revision = false, revision
+func (s *State) remove(now time.Time, e *entry, at directory.Position) {
+	e.isRegistered, e.position, e.listed = false, at, nil
 	e.forgetAt = now.Add(s.config.FlowAge)
 	s.scheduleExpiry(e.forgetAt)
 	if !e.endpoint.IsLeaving && now.Before(s.lapsedUntil) {
@@ -303,6 +321,7 @@
 	s.nextExpiry = time.Time{}
 	for id, e := range s.entries {
 		if e.isRegistered {
+			s.isDirty = s.releaseHeld(now, e) || s.isDirty
 			continue
 		}
 		if !e.usableUntil.IsZero() && !now.Before(e.usableUntil) {
--- a/core/coordination/discovery/discovery_test.go
+++ b/core/coordination/discovery/discovery_test.go
@@ -37,6 +37,9 @@
 	}}}
 }
 
+// at returns a position of a store that sends no era.
+func at(revision uint64) directory.Position { return directory.Position{Revision: revision} }
+
 // openIDs returns the IDs of the endpoints that may get new flows.
 func openIDs(t *testing.T, s *discovery.State, now time.Time) []string {
 	t.Helper()
@@ -71,10 +74,10 @@
 func TestStaleListChangesNothing(t *testing.T) {
 	is := is.New(t)
 	s := newState()
-	is.True(s.Replace(start, []directory.Endpoint{endpoint("i-1"), endpoint("i-2")}, 10))
-	_, ok := s.Apply(start, []discovery.Change{{ID: "i-1", Revision: 12}}, 10, 12)
+	is.True(s.Replace(start, []directory.Endpoint{endpoint("i-1"), endpoint("i-2")}, at(10)))
+	_, ok := s.Apply(start, []discovery.Change{{ID: "i-1", Revision: 12}}, at(10), at(12))
 	is.True(ok)
-	is.True(!s.Replace(start, []directory.Endpoint{endpoint("i-1"), endpoint("i-2")}, 11))
+	is.True(!s.Replace(start, []directory.Endpoint{endpoint("i-1"), endpoint("i-2")}, at(11)))
 	is.Equal(openIDs(t, s, start), []string{"i-2"})
 }
 
@@ -85,9 +88,9 @@
 	s := newState()
 	leaving := endpoint("i-1")
 	leaving.IsLeaving = true
-	s.Replace(start, []directory.Endpoint{leaving}, 20)
+	s.Replace(start, []directory.Endpoint{leaving}, at(20))
 	ready := endpoint("i-1")
-	_, ok := s.Apply(start, []discovery.Change{{ID: "i-1", Endpoint: &ready, Revision: 15}}, 10, 21)
+	_, ok := s.Apply(start, []discovery.Change{{ID: "i-1", Endpoint: &ready, Revision: 15}}, at(10), at(21))
 	is.True(ok)
 	is.Equal(len(openIDs(t, s, start)), 0)
 }
@@ -97,8 +100,8 @@
 	is := is.New(t)
 	s := newState()
 	s.Configure(start, version(1, "feed"))
-	s.Replace(start, []directory.Endpoint{endpoint("i-1")}, 10)
-	s.Apply(start, []discovery.Change{{ID: "i-1", Revision: 11}}, 10, 11)
+	s.Replace(start, []directory.Endpoint{endpoint("i-1")}, at(10))
+	s.Apply(start, []discovery.Change{{ID: "i-1", Revision: 11}}, at(10), at(11))
 	x, ok := s.Snapshot(start.Add(flowAge - time.Second))
 	is.True(ok)
 	is.Equal(len(x.EndpointsOf("feed")), 0)
@@ -128,13 +131,13 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			s := newState()
-			s.Replace(start, []directory.Endpoint{endpoint("i-1")}, 10)
+			s.Replace(start, []directory.Endpoint{endpoint("i-1")}, at(10))
 			now := start.Add(time.Minute)
 			if c.isStoreDown {
 				s.StoreUnavailable(now.Add(-10 * time.Second))
 				s.StoreAnswered(now)
 			}
-			s.Replace(now, nil, 30)
+			s.Replace(now, nil, at(30))
 			is.Equal(len(openIDs(t, s, now.Add(c.after))), c.want)
 		})
 	}
@@ -144,13 +147,13 @@
 func TestLapsedEntryReturns(t *testing.T) {
 	is := is.New(t)
 	s := newState()
-	s.Replace(start, []directory.Endpoint{endpoint("i-1")}, 10)
+	s.Replace(start, []directory.Endpoint{endpoint("i-1")}, at(10))
 	s.StoreUnavailable(start)
 	s.StoreAnswered(start.Add(5 * time.Second))
 	now := start.Add(5 * time.Second)
-	s.Replace(now, nil, 30)
+	s.Replace(now, nil, at(30))
 	back := endpoint("i-1")
-	s.Apply(now.Add(time.Second), []discovery.Change{{ID: "i-1", Endpoint: &back, Revision: 31}}, 30, 31)
+	s.Apply(now.Add(time.Second), []discovery.Change{{ID: "i-1", Endpoint: &back, Revision: 31}}, at(30), at(31))
 	is.Equal(openIDs(t, s, now.Add(reregistrationTime+time.Second)), []string{"i-1"})
 }
 
@@ -161,10 +164,10 @@
 	s := newState()
 	leaving := endpoint("i-1")
 	leaving.IsLeaving = true
-	s.Replace(start, []directory.Endpoint{leaving}, 10)
+	s.Replace(start, []directory.Endpoint{leaving}, at(10))
 	s.StoreUnavailable(start)
 	s.StoreAnswered(start.Add(time.Second))
-	s.Replace(start.Add(time.Second), nil, 30)
+	s.Replace(start.Add(time.Second), nil, at(30))
 	is.Equal(len(openIDs(t, s, start.Add(time.Second))), 0)
 }
 
@@ -190,23 +193,23 @@
 func TestSinceAnOldRevision(t *testing.T) {
 	is := is.New(t)
 	s := newState()
-	s.Replace(start, nil, 10)
+	s.Replace(start, nil, at(10))
 	for i := range uint64(5000) {
 		e := endpoint(fmt.Sprint("i-", i%7))
-		_, ok := s.Apply(start, []discovery.Change{{ID: e.ID, Endpoint: &e, Revision: 11 + i}}, 10+i, 11+i)
+		_, ok := s.Apply(start, []discovery.Change{{ID: e.ID, Endpoint: &e, Revision: 11 + i}}, at(10+i), at(11+i))
 		is.True(ok)
 	}
-	_, ok := s.ChangesSince(10)
+	_, ok := s.ChangesSince(at(10))
 	is.True(!ok)
-	_, ok = s.ChangesSince(9)
+	_, ok = s.ChangesSince(at(9))
 	is.True(!ok)
-	changes, ok := s.ChangesSince(5005)
+	changes, ok := s.ChangesSince(at(5005))
 	is.True(ok)
 	is.Equal(len(changes), 5)
 	is.Equal(changes[0].Revision, uint64(5006))
 	changes, after := s.RecentChanges()
 	is.Equal(len(changes), 8)
-	is.Equal(after, uint64(5002))
+	is.Equal(after, at(5002))
 }
 
 // history is the sequence of changes to endpoints in the store, by revision.
@@ -281,26 +284,27 @@
 			switch rapid.IntRange(0, 5).Draw(t, "kind") {
 			case 0: // a list, which may be out of date
 				revision := rapid.Uint64Range(1, present).Draw(t, "listed")
-				s.Replace(start, h.list(revision), revision)
+				s.Replace(start, h.list(revision), at(revision))
 			case 1: // a watch
-				s.Apply(start, h.between(s.Revision(), present), s.Revision(), present)
+				s.Apply(start, h.between(s.Position().Revision, present), s.Position(), at(present))
 			case 2: // changes fetched from another balancer
 				from := rapid.SampledFrom(states).Draw(t, "from")
-				if changes, ok := from.ChangesSince(s.Revision()); ok {
-					s.Apply(start, changes, s.Revision(), from.Revision())
+				if changes, ok := from.ChangesSince(s.Position()); ok {
+					s.Apply(start, changes, s.Position(), from.Position())
 				}
 			default: // an announcement
 				from := rapid.SampledFrom(states).Draw(t, "from")
 				changes, after := from.RecentChanges()
-				s.Apply(start, changes, after, from.Revision())
+				s.Apply(start, changes, after, from.Position())
 			}
 			for i, s := range states {
 				got := map[string]int64{}
 				for _, e := range s.Registered() {
 					got[e.ID] = e.StartedAt
 				}
-				if want := h.at(s.Revision()); s.Revision() > 0 && fmt.Sprint(got) != fmt.Sprint(want) {
-					t.Fatalf("step %d, state %d at revision %d: registered endpoints %v, want %v", step, i, s.Revision(), got, want)
+				revision := s.Position().Revision
+				if want := h.at(revision); revision > 0 && fmt.Sprint(got) != fmt.Sprint(want) {
+					t.Fatalf("step %d, state %d at revision %d: registered endpoints %v, want %v", step, i, revision, got, want)
 				}
 			}
 		}
--- a/core/coordination/spread/spread.go
+++ b/core/coordination/spread/spread.go
@@ -201,14 +201,19 @@
 	return true
 }
 
-// UpdateAges updates the ages after an announcement was applied. version and revision are those that this balancer
-// knows now.
-func (p *Plan) UpdateAges(received time.Time, a *Announcement, version, revision uint64) {
+// Position returns the store's position up to which the reader knows the endpoints.
+func (a *Announcement) Position() directory.Position {
+	return directory.Position{Era: a.Era, Revision: a.Revision}
+}
+
+// UpdateAges updates the ages after an announcement was applied. version and position are those that this balancer
+// knows now. An announcement of another era says nothing about the age of its endpoints.
+func (p *Plan) UpdateAges(received time.Time, a *Announcement, version uint64, position directory.Position) {
 	isBetter := p.rankOf(a.Reader) < p.rank
 	if version >= a.Version {
 		p.configuration.update(received, a.VersionAge, isBetter)
 	}
-	if revision >= a.Revision {
+	if position.Era == a.Era && position.Revision >= a.Revision {
 		p.endpoints.update(received, a.RevisionAge, isBetter)
 	}
 }
--- a/core/coordination/spread/spread_test.go
+++ b/core/coordination/spread/spread_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"cornellb/core/coordination/spread"
+	"cornellb/core/state/directory"
 	"cornellb/core/state/member"
 )
 
@@ -128,9 +129,9 @@
 	now := start.Add(limits.Configuration + 10*time.Millisecond)
 	second.ConfirmConfiguration(now)
 	is.True(second.ReadsConfiguration(now))
-	second.UpdateAges(now, &spread.Announcement{Reader: reader, VersionAge: limits.Configuration}, 1, 1)
+	second.UpdateAges(now, &spread.Announcement{Reader: reader, VersionAge: limits.Configuration}, 1, directory.Position{Revision: 1})
 	is.True(second.ReadsConfiguration(now)) // the reader announces again, but cannot reach the store
-	second.UpdateAges(now, &spread.Announcement{Reader: reader}, 1, 1)
+	second.UpdateAges(now, &spread.Announcement{Reader: reader}, 1, directory.Position{Revision: 1})
 	is.True(!second.ReadsConfiguration(now))
 }
 
@@ -195,7 +196,7 @@
 	started.Complete(now, a)
 	other.ConfirmConfiguration(start.Add(-limits.Configuration))
 	other.ConfirmEndpoints(start.Add(-limits.Endpoints))
-	other.UpdateAges(now, a, 7, 9)
+	other.UpdateAges(now, a, 7, directory.Position{Revision: 9})
 	_, age := other.Ages(now)
 	is.Equal(age, limits.Endpoints+100*time.Millisecond)
 	is.True(other.ReadsConfiguration(now))
@@ -216,12 +217,12 @@
 		p = plans(2)[2]
 	}
 	a := &spread.Announcement{Reader: 99, Sequence: 1, Version: 7, VersionAge: 3 * time.Second, Revision: 9}
-	p.UpdateAges(start, a, 7, 9)
+	p.UpdateAges(start, a, 7, directory.Position{Revision: 9})
 	is.True(p.ReadsConfiguration(start))
 	is.True(!p.ReadsEndpoints(start.Add(time.Second)))
 
 	behind := &spread.Announcement{Reader: 99, Sequence: 2, Version: 8, Revision: 9}
-	p.UpdateAges(start, behind, 7, 9) // version 8 is announced and not applied here
+	p.UpdateAges(start, behind, 7, directory.Position{Revision: 9}) // version 8 is announced and not applied here
 	is.True(p.ReadsConfiguration(start))
 }
 
--- a/core/state/metric/metric.go
+++ b/core/state/metric/metric.go
@@ -54,6 +54,7 @@
 	Version           Gauge = "configuration_version"
 	VersionAge        Gauge = "configuration_age_milliseconds" // time since the version was last known to be the newest
 	EndpointAge       Gauge = "endpoints_age_milliseconds"     // time since the endpoint list was last known to be complete
+	StoreEra          Gauge = "store_era"                      // 0 if the store sends none; rises when it is restored from a copy
 	OpenEndpoints     Gauge = "endpoints_open"                 // endpoints that may get new flows
 	SuspectEndpoints  Gauge = "endpoints_suspect"              // endpoints that are suspect and get no new flows
 	DegradedEndpoints Gauge = "endpoints_degraded"             // endpoints with fewer new flows because they fail requests
--- a/io/transport/direct/direct.go
+++ b/io/transport/direct/direct.go
@@ -68,11 +68,14 @@
 	// Configuration returns the newest configuration and the faults of its entries that cannot be used. The error is a
 	// *NoConfigurationError if there is none.
 	Configuration(ctx context.Context) (*directory.Configuration, []Fault, error)
-	// Endpoints lists all endpoints, with the revision of the list. If isFresh is false, the list may be seconds old.
-	Endpoints(ctx context.Context, isFresh bool) ([]directory.Endpoint, uint64, []Fault, error)
-	// WatchEndpoints waits for changes after a revision, at most for wait, and returns them with the revision to
-	// continue from. The reply holds all changes that the store had acknowledged when the call began. The error is a *HistoryGoneError if the store no longer has all changes after that revision.
-	WatchEndpoints(ctx context.Context, after uint64, wait time.Duration) ([]discovery.Change, uint64, []Fault, error)
+	// Endpoints lists all endpoints, with the position of the list. If isFresh is false, the list may be seconds old.
+	Endpoints(ctx context.Context, isFresh bool) ([]directory.Endpoint, directory.Position, []Fault, error)
+	// WatchEndpoints waits for changes after a position, at most for wait, and returns them with the position to
+	// continue from. The reply holds all changes that the store had acknowledged when the call began. The error is a *HistoryGoneError if the store no longer has all changes after that revision,
+	// or has been restored from a copy since. The era of a position is 0 if the reply has none.
+	WatchEndpoints(ctx context.Context, after directory.Position, wait time.Duration) (
+		[]discovery.Change, directory.Position, []Fault, error,
+	)
 }
 
 // Clock tells the time and waits.
@@ -133,7 +136,9 @@
 	p := &Process{
 		settings: s, adapters: a, log: log, decisions: newDecisionLog(log), loggedFaults: make(map[string]string),
 		configurationRequest: newReadRequest(), endpointsRequest: newReadRequest(),
-		state: discovery.New(discovery.Config{FlowAge: s.FlowAge, ReregistrationTime: reregistrationTime}),
+		state: discovery.New(discovery.Config{
+			FlowAge: s.FlowAge, ReregistrationTime: reregistrationTime, LeaveTime: s.leaveLimit(),
+		}),
 	}
 	p.ctx, p.cancel = context.WithCancel(context.Background())
 	if err := p.open(); err != nil {
@@ -190,8 +195,9 @@
 		Host     string `json:"host"`
 		Version  uint64 `json:"version"`
 		Revision uint64 `json:"revision"`
+		Era      uint64 `json:"era"`
 		IsReady  bool   `json:"is_ready"`
-	}{p.settings.ID, p.state.Version(), p.state.Revision(), p.IsReady()}
+	}{p.settings.ID, p.state.Version(), p.state.Position().Revision, p.state.Position().Era, p.IsReady()}
 }
 
 // update calls change under p.mu and then publishes the state that it changed.
@@ -212,7 +218,7 @@
 		}
 	}
 	if p.state.IsComplete() && !p.isComplete.Swap(true) {
-		p.log.Info("ready", "version", p.state.Version(), "revision", p.state.Revision())
+		p.log.Info("ready", "version", p.state.Version(), "revision", p.state.Position().Revision)
 	}
 }
 
--- a/io/transport/direct/direct_test.go
+++ b/io/transport/direct/direct_test.go
@@ -31,7 +31,7 @@
 	mu            sync.Mutex
 	waits         []time.Duration // of the watches
 	configuration func() (*directory.Configuration, []direct.Fault, error)
-	endpoints     func(ctx context.Context) ([]directory.Endpoint, uint64, []direct.Fault, error)
+	endpoints     func(ctx context.Context) ([]directory.Endpoint, directory.Position, []direct.Fault, error)
 }
 
 func (s *store) Configuration(context.Context) (*directory.Configuration, []direct.Fault, error) {
@@ -39,22 +39,23 @@
 	return s.configuration()
 }
 
-func (s *store) Endpoints(ctx context.Context, _ bool) ([]directory.Endpoint, uint64, []direct.Fault, error) {
+func (s *store) Endpoints(ctx context.Context, _ bool) ([]directory.Endpoint, directory.Position, []direct.Fault, error) {
 	return s.endpoints(ctx)
 }
 
-func (s *store) WatchEndpoints(ctx context.Context, after uint64, wait time.Duration) (
-	[]discovery.Change, uint64, []direct.Fault, error,
+func (s *store) WatchEndpoints(ctx context.Context, after directory.Position, wait time.Duration) (
+	[]discovery.Change, directory.Position, []direct.Fault, error,
 ) {
 	s.mu.Lock()
 	s.waits = append(s.waits, wait)
 	s.mu.Unlock()
 	if s.watches.Add(1) <= s.failures {
-		return nil, 0, nil, errors.New("connection refused")
+		return nil, directory.Position{}, nil, errors.New("connection refused")
 	}
 	time.Sleep(s.delay)
 	if s.isBusy {
-		return []discovery.Change{{ID: "i-1", Revision: after + 1}}, after + 1, nil, nil
+		after.Revision++
+		return []discovery.Change{{ID: "i-1", Revision: after.Revision}}, after, nil, nil
 	}
 	select {
 	case <-ctx.Done():
@@ -153,12 +154,12 @@
 			t.Parallel()
 			release := make(chan struct{})
 			s := &store{configuration: configuration}
-			s.endpoints = func(ctx context.Context) ([]directory.Endpoint, uint64, []direct.Fault, error) {
+			s.endpoints = func(ctx context.Context) ([]directory.Endpoint, directory.Position, []direct.Fault, error) {
 				select {
 				case <-ctx.Done():
-					return nil, 0, nil, ctx.Err()
+					return nil, directory.Position{}, nil, ctx.Err()
 				case <-release:
-					return nil, 3, nil, nil
+					return nil, directory.Position{Revision: 3}, nil, nil
 				}
 			}
 			p, _ := start(t, s)
@@ -229,7 +230,9 @@
 		configuration: func() (*directory.Configuration, []direct.Fault, error) {
 			return &directory.Configuration{Version: 7}, nil, nil
 		},
-		endpoints: func(context.Context) ([]directory.Endpoint, uint64, []direct.Fault, error) { return nil, 3, nil, nil },
+		endpoints: func(context.Context) ([]directory.Endpoint, directory.Position, []direct.Fault, error) {
+			return nil, directory.Position{Revision: 3}, nil, nil
+		},
 	}
 }
 
@@ -257,8 +260,8 @@
 func TestChangedFaultIsLogged(t *testing.T) {
 	is := is.New(t)
 	var isChanged atomic.Bool
-	s := &store{endpoints: func(context.Context) ([]directory.Endpoint, uint64, []direct.Fault, error) {
-		return nil, 3, nil, nil
+	s := &store{endpoints: func(context.Context) ([]directory.Endpoint, directory.Position, []direct.Fault, error) {
+		return nil, directory.Position{Revision: 3}, nil, nil
 	}}
 	s.configuration = func() (*directory.Configuration, []direct.Fault, error) {
 		var faults []direct.Fault
@@ -306,8 +309,8 @@
 				configuration: func() (*directory.Configuration, []direct.Fault, error) {
 					return nil, nil, &direct.NoConfigurationError{}
 				},
-				endpoints: func(context.Context) ([]directory.Endpoint, uint64, []direct.Fault, error) {
-					return nil, 3, nil, nil
+				endpoints: func(context.Context) ([]directory.Endpoint, directory.Position, []direct.Fault, error) {
+					return nil, directory.Position{Revision: 3}, nil, nil
 				},
 			})
 			s := testSettings()
--- a/io/transport/direct/errors.go
+++ b/io/transport/direct/errors.go
@@ -12,12 +12,17 @@
 	return fmt.Sprintf("malformed packet of %d bytes: %s", e.Bytes, e.Reason)
 }
 
-// HistoryGoneError reports a watch from a revision after which the store no longer has all changes.
+// HistoryGoneError reports a watch from a revision after which the store no longer has all changes, or whose revision
+// has another meaning since the store was restored from a copy.
 type HistoryGoneError struct {
 	Revision uint64
+	Era      uint64 // of the reply if it is higher than the one that the watch began in; else 0
 }
 
 func (e *HistoryGoneError) Error() string {
+	if e.Era != 0 {
+		return fmt.Sprintf("the store was restored (era %d) since revision %d", e.Era, e.Revision)
+	}
 	return fmt.Sprintf("the store no longer has the changes after revision %d", e.Revision)
 }
 
--- a/io/transport/direct/gauges.go
+++ b/io/transport/direct/gauges.go
@@ -18,6 +18,7 @@
 			_, age := p.peers.plan.Ages(now)
 			return age.Milliseconds()
 		},
+		metric.StoreEra:          func(time.Time) int64 { return int64(p.state.Position().Era) },
 		metric.OpenEndpoints:     func(time.Time) int64 { return int64(p.state.OpenEndpoints()) },
 		metric.SuspectEndpoints:  func(now time.Time) int64 { return int64(p.forwarder.SuspectEndpoints(now)) },
 		metric.DegradedEndpoints: func(time.Time) int64 { return int64(p.forwarder.DegradedEndpoints()) },
--- a/io/transport/direct/peers.go
+++ b/io/transport/direct/peers.go
@@ -143,7 +143,7 @@
 	now := p.adapters.Clock.Now()
 	changes, base := p.state.RecentChanges()
 	a := &spread.Announcement{
-		Version: p.state.Version(), Revision: p.state.Revision(), Base: base, Changes: changes,
+		Version: p.state.Version(), Era: base.Era, Revision: p.state.Position().Revision, Base: base.Revision, Changes: changes,
 		LapsedFor: max(p.state.LapsedUntil().Sub(now), 0),
 	}
 	h.plan.Complete(now, a)
@@ -179,9 +179,11 @@
 			a = nil // not new, so neither fetched nor relayed
 			return
 		}
-		p.state.ExtendLapsedUntil(now.Add(a.LapsedFor))
-		p.apply(now, a.Changes, a.Base, a.Revision, "balancer")
-		isBehind = p.state.Version() < a.Version || p.state.Revision() < a.Revision
+		if a.Era == p.state.Position().Era {
+			p.state.ExtendLapsedUntil(now.Add(a.LapsedFor))
+		}
+		p.apply(now, a.Changes, directory.Position{Era: a.Era, Revision: a.Base}, a.Position(), "balancer")
+		isBehind = p.state.Version() < a.Version || p.state.Position().Compare(a.Position()) < 0
 		h.updateFreshness(now, a)
 	})
 	switch {
@@ -197,7 +199,7 @@
 // announcement. The caller holds Process.mu.
 func (h *peers) updateFreshness(received time.Time, a *spread.Announcement) {
 	p := h.process
-	h.plan.UpdateAges(received, a, p.state.Version(), p.state.Revision())
+	h.plan.UpdateAges(received, a, p.state.Version(), p.state.Position())
 	if p.state.Version() >= a.Version {
 		p.forwarder.Confirm(received.Add(-a.VersionAge))
 	}
@@ -213,6 +215,7 @@
 	relayed := *a
 	relayed.VersionAge += held
 	relayed.RevisionAge += held
+	relayed.LapsedFor = max(relayed.LapsedFor-held, 0)
 	h.send(next, &relayed)
 }
 
@@ -247,10 +250,10 @@
 	ctx, cancel := context.WithTimeout(p.ctx, fetchTimeout)
 	defer cancel()
 	p.mu.Lock()
-	version, revision := p.state.Version(), p.state.Revision()
+	version, position := p.state.Version(), p.state.Position()
 	p.mu.Unlock()
 	d, err := h.transport.FetchDirectory(ctx, from, wire.DirectoryQuery{
-		Version: version, Endpoints: directory.Position{Revision: revision},
+		Version: version, Endpoints: position,
 	})
 	if err != nil {
 		p.metrics.Count(metric.StoreCalls, "balancer failed", 1)
@@ -269,11 +272,15 @@
 				p.configure(now, c, "balancer")
 			}
 		}
+		at := directory.Position{Era: d.Era, Revision: d.Revision}
 		switch {
 		case d.ChangesOnly:
-			p.apply(now, d.Changes, revision, d.Revision, "balancer")
+			p.apply(now, d.Changes, position, at, "balancer")
 		case d.Revision != 0:
-			p.state.Replace(now, d.Endpoints, d.Revision)
+			p.replace(now, d.Endpoints, at, d.LapsedFor, "balancer")
+		}
+		if d.Era == p.state.Position().Era {
+			p.state.ExtendLapsedUntil(now.Add(d.LapsedFor))
 		}
 	})
 	return true
@@ -282,7 +289,7 @@
 // HandleDirectory implements peer.DirectoryHandler. It returns what is newer than the caller's version and revision:
 // the changes if they are still kept, and otherwise everything.
 func (h *peers) HandleDirectory(_ context.Context, q wire.DirectoryQuery) (*wire.DirectoryUpdate, error) {
-	version, revision := q.Version, q.Endpoints.Revision
+	version := q.Version
 	p := h.process
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -293,11 +300,12 @@
 			d.Configuration, d.Difference = p.state.Configuration(), nil
 		}
 	}
-	if !p.state.IsComplete() || p.state.Revision() <= revision {
+	if !p.state.IsComplete() || p.state.Position().Compare(q.Endpoints) <= 0 {
 		return d, nil
 	}
-	d.Revision = p.state.Revision()
-	if d.Changes, d.ChangesOnly = p.state.ChangesSince(revision); !d.ChangesOnly {
+	d.Era, d.Revision = p.state.Position().Era, p.state.Position().Revision
+	d.LapsedFor = max(p.state.LapsedUntil().Sub(p.adapters.Clock.Now()), 0)
+	if d.Changes, d.ChangesOnly = p.state.ChangesSince(q.Endpoints); !d.ChangesOnly {
 		d.Endpoints = p.state.Registered()
 	}
 	return d, nil
--- a/io/transport/direct/reader.go
+++ b/io/transport/direct/reader.go
@@ -244,7 +244,7 @@
 		switch {
 		case errors.As(err, &gone):
 			p.log.Warn("store no longer has all endpoint changes after the revision; listing the endpoints again",
-				"revision", gone.Revision)
+				"revision", gone.Revision, "era", gone.Era)
 			isListed, isFresh = false, true
 		case err != nil:
 			failures++
@@ -264,33 +264,41 @@
 
 func (p *Process) listEndpoints(isFresh bool) error {
 	began := p.adapters.Clock.Now()
-	list, revision, faults, err := p.adapters.Store.Endpoints(p.ctx, isFresh)
+	p.mu.Lock()
+	known := p.state.Position().Era
+	p.mu.Unlock()
+	list, at, faults, err := p.adapters.Store.Endpoints(p.ctx, isFresh)
 	if p.recordStoreCall("endpoints", err); err != nil {
 		return err
 	}
 	p.logFaults(faults)
 	p.update(func(now time.Time) {
-		p.state.Replace(now, list, revision)
-		if isFresh {
+		at = discovery.StorePosition(at, known)
+		p.replace(now, list, at, reregistrationTime, "store")
+		if isFresh && at.Era == p.state.Position().Era {
 			p.peers.plan.ConfirmEndpoints(began)
 		}
 	})
-	p.log.Info("all endpoints read from the store", "endpoints", len(list), "revision", revision)
+	p.log.Info("all endpoints read from the store", "endpoints", len(list), "revision", at.Revision, "era", at.Era)
 	return nil
 }
 
 // watchEndpoints waits for changes of endpoints. began is the time now.
 func (p *Process) watchEndpoints(began time.Time, wait time.Duration) error {
 	p.mu.Lock()
-	after := p.state.Revision()
+	after := p.state.Position()
 	p.mu.Unlock()
-	changes, revision, faults, err := p.adapters.Store.WatchEndpoints(p.ctx, after, wait)
+	changes, at, faults, err := p.adapters.Store.WatchEndpoints(p.ctx, after, wait)
 	if p.recordStoreCall("endpoints", err); err != nil {
 		return err
 	}
 	p.logFaults(faults)
 	p.update(func(now time.Time) {
-		p.apply(now, changes, after, revision, "store")
+		// Another balancer may have sent the list of a higher era during the watch.
+		if at = discovery.StorePosition(at, after.Era); after.Era != p.state.Position().Era || at.Era != after.Era {
+			return
+		}
+		p.apply(now, changes, after, at, "store")
 		if end := began.Add(wait); len(changes) == 0 && end.Before(now) {
 			now = end // the reply may have been on its way for a while; the store has waited for as long as it was asked to
 		}
@@ -300,8 +308,8 @@
 }
 
 // apply applies changes of endpoints to the state and logs those that were new. The caller holds p.mu.
-func (p *Process) apply(now time.Time, changes []discovery.Change, after, revision uint64, source string) {
-	applied, _ := p.state.Apply(now, changes, after, revision)
+func (p *Process) apply(now time.Time, changes []discovery.Change, after, at directory.Position, source string) {
+	applied, _ := p.state.Apply(now, changes, after, at)
 	for _, c := range applied {
 		p.logChange(c, source)
 	}
--- a/io/transport/platform/client.go
+++ b/io/transport/platform/client.go
@@ -170,6 +170,7 @@
 	Body       []byte        // JSON, or nil
 	Wait       time.Duration // of a watch; 0 for other calls
 	Reply      any           // pointer into which the JSON body of a response with status 200 is decoded
+	Era        *uint64       // receives the era of the store from any response, 0 if it has none; may be nil
 	// Lenient holds further options for a reply that cannot be decoded as a whole: it is then decoded once more with them,
 	// through a filter that replaces values which no JSON decoder accepts. If it is nil, the call fails.
 	Lenient json.Options
@@ -252,6 +253,9 @@
 		return 0, &UnavailableError{Operation: k.Operation, Err: err}
 	}
 	defer response.Body.Close()
+	if k.Era != nil {
+		*k.Era = eraOf(response.Header)
+	}
 	if k.Wait == 0 {
 		now := time.Now()
 		c.last.Store(&answer{now, now.Sub(began)})
--- a/standin/direct/endpoint.go
+++ b/standin/direct/endpoint.go
@@ -30,13 +30,13 @@
 	conn     *net.UDPConn
 	host     *host // of the endpoint's process
 	number   uint64
-	entry    map[string]any
 	isSilent atomic.Bool  // drops every packet and sends nothing
 	delay    atomic.Int64 // ns between a request and its answer
 	forged   atomic.Int64
 	opened   atomic.Int64
 
 	mu    sync.Mutex
+	entry map[string]any // as last written to the store
 	flows map[string]*endpointFlow
 }
 
@@ -87,7 +87,16 @@
 
 // Drain registers the endpoint as draining. It still serves requests.
 func (e *Endpoint) Drain() error {
+	e.mu.Lock()
 	e.entry["state"] = "draining"
+	e.mu.Unlock()
+	return e.Register()
+}
+
+// Register writes the entry of the endpoint to the store again, as an endpoint does that misses it there.
+func (e *Endpoint) Register() error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	return e.store.Put("servers", e.settings.ID, e.entry)
 }
 
--- a/standin/direct/store.go
+++ b/standin/direct/store.go
@@ -30,6 +30,7 @@
 	events      []event
 	compactedTo uint64 // the history up to this revision has been dropped
 	revision    uint64
+	era         uint64        // in the header Store-Era; 0 if it is not sent
 	changed     chan struct{} // closed and replaced by each change
 	replica     *Store        // answers calls with serializable=1 while they lag; nil if they do not
 }
@@ -109,10 +110,46 @@
 	defer s.mu.Unlock()
 	s.replica = &Store{
 		objects: maps.Clone(s.objects), events: slices.Clone(s.events), compactedTo: s.compactedTo, revision: s.revision,
-		changed: make(chan struct{}),
+		era: s.era, changed: make(chan struct{}),
 	}
 }
 
+// SetEra makes the store send an era in all its answers. Era 0 is not sent.
+func (s *Store) SetEra(era uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era = era
+}
+
+// Copy is the state of a store at one time.
+type Copy struct {
+	objects     map[string]object
+	events      []event
+	compactedTo uint64
+	revision    uint64
+}
+
+// Copy returns a copy of the present state.
+func (s *Store) Copy() Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Copy{
+		objects: maps.Clone(s.objects), events: slices.Clone(s.events), compactedTo: s.compactedTo, revision: s.revision,
+	}
+}
+
+// Restore puts an earlier state back and raises the era. Later changes and their history are lost, and their revisions
+// are used again. Watches after a revision that the copy does not have end with status 410.
+func (s *Store) Restore(c Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.objects, s.events = maps.Clone(c.objects), slices.Clone(c.events)
+	s.compactedTo, s.revision = c.compactedTo, c.revision
+	s.era++
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
 // StoreListener is one listener of the store, with its own fault.
 type StoreListener struct {
 	Address string // listen address
@@ -154,7 +191,10 @@
 		<-r.Context().Done()
 		return
 	case f.Status != 0:
-		w.WriteHeader(f.Status)
+		d.store.mu.Lock()
+		era := d.store.era
+		d.store.mu.Unlock()
+		replyStatus(w, era, f.Status)
 		return
 	case f.LoseAll:
 		panic(http.ErrAbortHandler)
@@ -184,12 +224,13 @@
 func (s *Store) get(w http.ResponseWriter, kind, name string) {
 	s.mu.Lock()
 	o, ok := s.objects[kind+"/"+name]
+	era := s.era
 	s.mu.Unlock()
 	if !ok {
-		w.WriteHeader(http.StatusNotFound)
+		replyStatus(w, era, http.StatusNotFound)
 		return
 	}
-	reply(w, o)
+	reply(w, era, o)
 }
 
 func (s *Store) list(w http.ResponseWriter, kind string) {
@@ -200,10 +241,10 @@
 			items = append(items, o)
 		}
 	}
-	at := s.revision
+	at, era := s.revision, s.era
 	s.mu.Unlock()
 	slices.SortFunc(items, func(a, b object) int { return strings.Compare(a.Meta.Name, b.Meta.Name) })
-	reply(w, map[string]any{"items": items, "more": false, "at": at})
+	reply(w, era, map[string]any{"items": items, "more": false, "at": at})
 }
 
 func (s *Store) watch(w http.ResponseWriter, r *http.Request, kind string) {
@@ -222,14 +263,14 @@
 				found = append(found, e)
 			}
 		}
-		at, changed, isCompacted := s.revision, s.changed, after < s.compactedTo
+		at, era, changed, isGone := s.revision, s.era, s.changed, after < s.compactedTo || after > s.revision
 		s.mu.Unlock()
 		switch {
-		case isCompacted:
-			w.WriteHeader(http.StatusGone)
+		case isGone:
+			replyStatus(w, era, http.StatusGone)
 			return
 		case len(found) > 0 || hasTimedOut:
-			reply(w, map[string]any{"events": found, "at": at})
+			reply(w, era, map[string]any{"events": found, "at": at})
 			return
 		}
 		select {
@@ -242,7 +283,19 @@
 	}
 }
 
-func reply(w http.ResponseWriter, v any) {
+func setEra(w http.ResponseWriter, era uint64) {
+	if era != 0 {
+		w.Header().Set("Store-Era", strconv.FormatUint(era, 10))
+	}
+}
+
+func replyStatus(w http.ResponseWriter, era uint64, status int) {
+	setEra(w, era)
+	w.WriteHeader(status)
+}
+
+func reply(w http.ResponseWriter, era uint64, v any) {
+	setEra(w, era)
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(v) // an error means that the caller has disconnected
 }
--- a/test/process/direct_test.go
+++ b/test/process/direct_test.go
@@ -66,8 +66,14 @@
 	process              *process
 }
 
-// startDirect starts 4 balancers in two failure domains in front of 6 endpoints of two services.
+// startDirect starts 4 balancers in two failure domains in front of 6 endpoints of two services. The store sends no era.
 func startDirect(t *testing.T) *directFleet {
+	t.Helper()
+	return startDirectInEra(t, 0)
+}
+
+// startDirectInEra is startDirect with an era of the store.
+func startDirectInEra(t *testing.T, era uint64) *directFleet {
 	t.Helper()
 	port, err := netip.ParseAddrPort(freeAddress(t))
 	if err != nil {
@@ -77,6 +83,7 @@
 		t: t, folder: t.TempDir(), store: direct.NewStore(), port: port.Port(), endpoints: map[string]*direct.Endpoint{},
 		routes: map[netip.AddrPort]string{feedAddress: "feed", imageAddress: "images"},
 	}
+	f.store.SetEra(era)
 	t.Cleanup(f.close)
 	f.configure()
 	for i, domain := range []string{"attiki-a", "attiki-b", "attiki-a", "attiki-b"} {
--- a/test/process/soak_test.go
+++ b/test/process/soak_test.go
@@ -37,7 +37,8 @@
 	stop         chan struct{}
 	lastEndpoint int // number of the endpoint that was added last
 
-	mu sync.Mutex // guards directBalancer.process
+	mu    sync.Mutex // guards directBalancer.process
+	fleet sync.Mutex // guards endpoints, routes and version of directFleet
 }
 
 // faults maps each kind of fault to the method that injects it and returns a description for the log.
@@ -53,10 +54,11 @@
 	"replace":   (*soak).replaceEndpoint,
 	"silence":   (*soak).silenceEndpoint,
 	"slow":      (*soak).slowEndpoint,
+	"restore":   (*soak).restoreStore,
 }
 
 // faultOrder fixes the index of each kind, so that a seed always selects the same faults.
-var faultOrder = []string{"kill", "pause", "restart", "reload", "network", "store", "compact", "configure", "replace", "silence", "slow"}
+var faultOrder = []string{"kill", "pause", "restart", "reload", "network", "store", "compact", "configure", "replace", "silence", "slow", "restore"}
 
 // TestDirectSoak injects random faults of all kinds into real processes. Meanwhile no open flow may be reset while its
 // endpoint is alive, no packet may be changed or reach another service, and no process may go back to an older version.
@@ -83,7 +85,7 @@
 
 func runSoak(t *testing.T, seed uint64) {
 	s := &soak{
-		directFleet: startDirect(t), random: rand.New(rand.NewPCG(seed, 0)), stop: make(chan struct{}),
+		directFleet: startDirectInEra(t, 1), random: rand.New(rand.NewPCG(seed, 0)), stop: make(chan struct{}),
 		lastEndpoint: endpointBase,
 	}
 	s.load = s.startLoad(soakFlows)
@@ -235,6 +237,8 @@
 }
 
 func (s *soak) changeRoutes() string {
+	s.fleet.Lock()
+	defer s.fleet.Unlock()
 	if _, ok := s.routes[addedAddress]; ok {
 		delete(s.routes, addedAddress)
 	} else {
@@ -246,6 +250,8 @@
 
 // replaceEndpoint starts a new endpoint. The first two calls also drain an old one.
 func (s *soak) replaceEndpoint() string {
+	s.fleet.Lock()
+	defer s.fleet.Unlock()
 	s.lastEndpoint++
 	id := fmt.Sprintf("i-%x", s.lastEndpoint)
 	s.addEndpoint(id, "feed", "attiki-a")
@@ -259,6 +265,20 @@
 	return id + " added"
 }
 
+// restoreStore restores the store after a random time from a copy taken now. The endpoints write their entries again
+// registerTime later, and the operator writes the configuration.
+func (s *soak) restoreStore() string {
+	c := s.store.Copy()
+	d := s.afterRandomTime(func() {
+		s.store.Restore(c)
+		time.Sleep(registerTime)
+		s.fleet.Lock()
+		defer s.fleet.Unlock()
+		s.writeAgain()
+	})
+	return fmt.Sprintf("a copy of the store comes back after %v", d)
+}
+
 // endpointBase is one less than the number of the first endpoint that replaceEndpoint adds.
 const endpointBase = 0x100
 
