Test restores of the store without a network

Cause: lost writes, late messages and missing headers are rare in the soak and hard to tell apart there.

--- /dev/null
+++ b/io/transport/direct/era_test.go
@@ -0,0 +1,143 @@
+package direct_test
+
+import (
+	"context"
+	"log/slog"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"cornellb/core/coordination/discovery"
+	"cornellb/core/coordination/spread"
+	"cornellb/core/state/directory"
+	"cornellb/io/transport/direct"
+
+	wire "cornellb/io/protocol/wire/peer"
+)
+
+// restorableStore is a store at a position that the test sets. Each watch returns at once.
+type restorableStore struct {
+	mu        sync.Mutex
+	at        directory.Position
+	endpoints []directory.Endpoint
+	sendsNone bool   // answers have no era
+	fresh     []bool // of each list
+}
+
+func (s *restorableStore) restore(at directory.Position, endpoints ...directory.Endpoint) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.at, s.endpoints = at, endpoints
+}
+
+func (s *restorableStore) Configuration(context.Context) (*directory.Configuration, []direct.Fault, error) {
+	return &directory.Configuration{Version: 7}, nil, nil
+}
+
+func (s *restorableStore) position() directory.Position {
+	if s.sendsNone {
+		return directory.Position{Revision: s.at.Revision}
+	}
+	return s.at
+}
+
+func (s *restorableStore) Endpoints(_ context.Context, isFresh bool) (
+	[]directory.Endpoint, directory.Position, []direct.Fault, error,
+) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fresh = append(s.fresh, isFresh)
+	return s.endpoints, s.position(), nil, nil
+}
+
+func (s *restorableStore) WatchEndpoints(_ context.Context, after directory.Position, _ time.Duration) (
+	[]discovery.Change, directory.Position, []direct.Fault, error,
+) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if at := s.position(); at.Era > after.Era || at.Revision < after.Revision {
+		return nil, directory.Position{}, nil, &direct.HistoryGoneError{Revision: after.Revision, Era: at.Era}
+	}
+	return nil, s.position(), nil, nil
+}
+
+func startRestorable(t *testing.T, s *restorableStore) (*direct.Process, *output) {
+	t.Helper()
+	out := &output{}
+	p, err := direct.Start(testSettings(), direct.Adapters{Store: s, Codec: codec{}, Clock: clock{}},
+		slog.New(slog.NewTextHandler(out, nil)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(p.Close)
+	eventually(t, "the first list", func() bool { return p.Position().Revision == 100 })
+	return p, out
+}
+
+// TestRestoredStoreIsListedAgain guards against a balancer that keeps the endpoints from before a restore, since its
+// revision is higher than that of the copy, or that lists them from a replica which has not been restored yet.
+func TestRestoredStoreIsListedAgain(t *testing.T) {
+	is := is.New(t)
+	s := &restorableStore{at: directory.Position{Era: 4, Revision: 100}}
+	p, out := startRestorable(t, s)
+	s.restore(directory.Position{Era: 5, Revision: 60})
+	eventually(t, "the position of the copy", func() bool { return p.Position() == directory.Position{Era: 5, Revision: 60} })
+	is.Equal(out.count("store era increased"), 1)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	is.Equal(s.fresh, []bool{false, true})
+}
+
+// TestMissingHeader guards against a balancer that stops to follow a store, or lists all endpoints again and again,
+// because the header with the era is missing for a while.
+func TestMissingHeader(t *testing.T) {
+	is := is.New(t)
+	s := &restorableStore{at: directory.Position{Era: 4, Revision: 100}}
+	p, out := startRestorable(t, s)
+	s.mu.Lock()
+	s.sendsNone, s.at.Revision = true, 101
+	s.mu.Unlock()
+	eventually(t, "a change without the header", func() bool { return p.Position() == directory.Position{Era: 4, Revision: 101} })
+	s.mu.Lock()
+	s.sendsNone, s.at.Revision = false, 102
+	s.mu.Unlock()
+	eventually(t, "a change with the header", func() bool { return p.Position() == directory.Position{Era: 4, Revision: 102} })
+	is.Equal(out.count("store era increased"), 0)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	is.Equal(len(s.fresh), 1)
+}
+
+// TestMessagesOfFormerEra guards against a balancer that takes over the endpoints from before a restore from a late
+// announcement or from a balancer without eras, and against differences for balancers that know another era.
+func TestMessagesOfFormerEra(t *testing.T) {
+	is := is.New(t)
+	s := &restorableStore{at: directory.Position{Era: 4, Revision: 100}, endpoints: []directory.Endpoint{{ID: "i-1"}, {ID: "i-2"}}}
+	p, _ := startRestorable(t, s)
+	at := directory.Position{Era: 5, Revision: 60}
+	s.restore(at, directory.Endpoint{ID: "i-1"})
+	eventually(t, "the position of the copy", func() bool { return p.Position() == at })
+
+	for sequence, era := range []uint64{4, 0} {
+		p.Peers().HandleAnnouncement(netip.AddrPort{}, &spread.Announcement{
+			Reader: 99, Sequence: uint64(sequence + 1), Version: 7, Era: era, Revision: 200, Base: 60,
+			Changes: []discovery.Change{{ID: "i-1", Revision: 61}}, LapsedFor: time.Hour,
+		})
+		is.Equal(p.Position(), at)
+	}
+	for _, asked := range []directory.Position{{Era: 4, Revision: 100}, {Revision: 100}, {Revision: 60}, {}} {
+		d, err := p.Peers().HandleDirectory(t.Context(), wire.DirectoryQuery{Version: 7, Endpoints: asked})
+		is.NoErr(err)
+		is.Equal(directory.Position{Era: d.Era, Revision: d.Revision}, at)
+		is.True(!d.ChangesOnly && len(d.Endpoints) == 1)
+		is.True(d.LapsedFor > 0 && d.LapsedFor <= 2200*time.Millisecond) // not from the late announcement
+	}
+	for _, asked := range []directory.Position{at, {Era: 6, Revision: 1}} {
+		d, err := p.Peers().HandleDirectory(t.Context(), wire.DirectoryQuery{Version: 7, Endpoints: asked})
+		is.NoErr(err)
+		is.Equal(d.Revision, uint64(0))
+	}
+}
