Count a list without era as of the era that a watch has shown

Cause: after a watch had shown a restore, a list whose header was missing counted as of the former era and was ignored, and the next watch led to another list.

Change: the era of the watch that led to the list is passed on. Lists of the store use Replace again, those of balancers Adopt; the log line has a function of its own. Answers of a former era confirm no age, which has a test now.

--- a/core/coordination/discovery/eras.go
+++ b/core/coordination/discovery/eras.go
@@ -14,8 +14,8 @@
 // earlier may only have been lost with the writes since the copy; the endpoints write their entries again within
 // ReregistrationTime, until which the known state of these endpoints stays in force.
 
-// StorePosition returns the position at which an answer of the store counts. known is the era that was known when the
-// call began. An answer without an era belongs to that one: a header that is missing once neither resets anything nor
+// StorePosition returns the position at which an answer of the store counts. known is the highest era that was known
+// when the call began. An answer without an era belongs to that one: a header that is missing once neither resets anything nor
 // makes the answer count as old. Messages of other balancers are compared as they are, since a balancer of an earlier
 // version sends revisions of any era without one.
 func StorePosition(at directory.Position, known uint64) directory.Position {
--- a/io/transport/direct/era_test.go
+++ b/io/transport/direct/era_test.go
@@ -24,6 +24,7 @@
 	at        directory.Position
 	endpoints []directory.Endpoint
 	sendsNone bool   // answers have no era
+	listsNone bool   // lists have none
 	fresh     []bool // of each list
 }
 
@@ -50,7 +51,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.fresh = append(s.fresh, isFresh)
-	return s.endpoints, s.position(), nil, nil
+	if at := s.position(); !s.listsNone {
+		return s.endpoints, at, nil, nil
+	}
+	return s.endpoints, directory.Position{Revision: s.at.Revision}, nil, nil
 }
 
 func (s *restorableStore) WatchEndpoints(_ context.Context, after directory.Position, _ time.Duration) (
@@ -91,6 +95,21 @@
 	is.Equal(s.fresh, []bool{false, true})
 }
 
+// TestRestoreListedWithoutHeader guards against a balancer that lists the endpoints again and again, because the era is
+// missing in the list that follows a watch which has shown it.
+func TestRestoreListedWithoutHeader(t *testing.T) {
+	is := is.New(t)
+	s := &restorableStore{at: directory.Position{Era: 4, Revision: 100}}
+	p, _ := startRestorable(t, s)
+	s.mu.Lock()
+	s.listsNone, s.at = true, directory.Position{Era: 5, Revision: 60}
+	s.mu.Unlock()
+	eventually(t, "the position of the copy", func() bool { return p.Position() == directory.Position{Era: 5, Revision: 60} })
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	is.Equal(s.fresh, []bool{false, true})
+}
+
 // TestMissingHeader guards against a balancer that stops to follow a store, or lists all endpoints again and again,
 // because the header with the era is missing for a while.
 func TestMissingHeader(t *testing.T) {
@@ -141,3 +160,21 @@
 		is.Equal(d.Revision, uint64(0))
 	}
 }
+
+// TestAnswersOfFormerEraConfirmNothing guards against endpoints that count as fresh because of answers from before a
+// restore, as a replica gives them that is behind.
+func TestAnswersOfFormerEraConfirmNothing(t *testing.T) {
+	is := is.New(t)
+	s := &restorableStore{at: directory.Position{Era: 5, Revision: 100}}
+	p, _ := startRestorable(t, s)
+	eventually(t, "a watch", func() bool {
+		_, age := p.Ages()
+		return age < time.Second
+	})
+	s.restore(directory.Position{Era: 4, Revision: 200})
+	eventually(t, "endpoints that are no longer confirmed", func() bool {
+		_, age := p.Ages()
+		return age > 2*time.Second
+	})
+	is.Equal(p.Position(), directory.Position{Era: 5, Revision: 100})
+}
--- a/io/transport/direct/peers.go
+++ b/io/transport/direct/peers.go
@@ -277,7 +277,10 @@
 		case d.ChangesOnly:
 			p.apply(now, d.Changes, position, at, "balancer")
 		case d.Revision != 0:
-			p.replace(now, d.Endpoints, at, d.LapsedFor, "balancer")
+			before := p.state.Position()
+			if p.state.Adopt(now, d.Endpoints, at, d.LapsedFor) {
+				p.logEra(before, len(d.Endpoints), d.LapsedFor, "balancer")
+			}
 		}
 		if d.Era == p.state.Position().Era {
 			p.state.ExtendLapsedUntil(now.Add(d.LapsedFor))
--- a/io/transport/direct/reader.go
+++ b/io/transport/direct/reader.go
@@ -211,6 +211,7 @@
 	failures := 0
 	isListed := false // the revision of the list is known, so changes after it can be watched
 	isFresh := false  // the first list may be stale: the watch that follows returns the missing changes
+	era := uint64(0)  // of the last reply that invalidated the revision
 	var answeredAt time.Time
 	for {
 		isDue := func() bool { return p.peers.plan.ReadsEndpoints(p.adapters.Clock.Now()) }
@@ -234,7 +235,7 @@
 			}
 			err = p.watchEndpoints(began, wait)
 		} else {
-			err = p.listEndpoints(isFresh)
+			err = p.listEndpoints(isFresh, era)
 			p.recordStartupRead(&p.wereEndpointsRead)
 		}
 		if p.ctx.Err() != nil {
@@ -245,7 +246,7 @@
 		case errors.As(err, &gone):
 			p.log.Warn("store no longer has all endpoint changes after the revision; listing the endpoints again",
 				"revision", gone.Revision, "era", gone.Era)
-			isListed, isFresh = false, true
+			isListed, isFresh, era = false, true, gone.Era
 		case err != nil:
 			failures++
 			if !p.pause(p.retryDelay(failures), nil) {
@@ -262,10 +263,11 @@
 	}
 }
 
-func (p *Process) listEndpoints(isFresh bool) error {
+// listEndpoints lists the endpoints. era is one that the store is known to have reached; 0 if there is none.
+func (p *Process) listEndpoints(isFresh bool, era uint64) error {
 	began := p.adapters.Clock.Now()
 	p.mu.Lock()
-	known := p.state.Position().Era
+	era = max(era, p.state.Position().Era)
 	p.mu.Unlock()
 	list, at, faults, err := p.adapters.Store.Endpoints(p.ctx, isFresh)
 	if p.recordStoreCall("endpoints", err); err != nil {
@@ -273,8 +275,11 @@
 	}
 	p.logFaults(faults)
 	p.update(func(now time.Time) {
-		at = discovery.StorePosition(at, known)
-		p.replace(now, list, at, reregistrationTime, "store")
+		at = discovery.StorePosition(at, era)
+		before := p.state.Position()
+		if p.state.Replace(now, list, at) {
+			p.logEra(before, len(list), reregistrationTime, "store")
+		}
 		if isFresh && at.Era == p.state.Position().Era {
 			p.peers.plan.ConfirmEndpoints(began)
 		}
