Read gauges in the process tests in one place

Cause: the test of a restored store and that of the reader each parsed the metrics of a balancer.

Change: both use one function, which compares the whole name of a gauge and the whole value. Two tests of lists after a restore are one.

--- a/io/transport/direct/era_test.go
+++ b/io/transport/direct/era_test.go
@@ -82,32 +82,23 @@
 }
 
 // TestRestoredStoreIsListedAgain guards against a balancer that keeps the endpoints from before a restore, since its
-// revision is higher than that of the copy, or that lists them from a replica which has not been restored yet.
+// revision is higher than that of the copy, that lists them from a replica which has not been restored yet, or that lists
+// them again and again because the header is missing in the list that follows a watch which has shown the era.
 func TestRestoredStoreIsListedAgain(t *testing.T) {
-	is := is.New(t)
-	s := &restorableStore{at: directory.Position{Era: 4, Revision: 100}}
-	p, out := startRestorable(t, s)
-	s.restore(directory.Position{Era: 5, Revision: 60})
-	eventually(t, "the position of the copy", func() bool { return p.Position() == directory.Position{Era: 5, Revision: 60} })
-	is.Equal(out.count("store era increased"), 1)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	is.Equal(s.fresh, []bool{false, true})
-}
-
-// TestRestoreListedWithoutHeader guards against a balancer that lists the endpoints again and again, because the era is
-// missing in the list that follows a watch which has shown it.
-func TestRestoreListedWithoutHeader(t *testing.T) {
-	is := is.New(t)
-	s := &restorableStore{at: directory.Position{Era: 4, Revision: 100}}
-	p, _ := startRestorable(t, s)
-	s.mu.Lock()
-	s.listsNone, s.at = true, directory.Position{Era: 5, Revision: 60}
-	s.mu.Unlock()
-	eventually(t, "the position of the copy", func() bool { return p.Position() == directory.Position{Era: 5, Revision: 60} })
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	is.Equal(s.fresh, []bool{false, true})
+	for _, listsNone := range []bool{false, true} {
+		is := is.New(t)
+		s := &restorableStore{at: directory.Position{Era: 4, Revision: 100}, listsNone: listsNone}
+		p, out := startRestorable(t, s)
+		at := directory.Position{Era: 5, Revision: 60}
+		eventually(t, "the era of a watch", func() bool { return p.Position().Era == 4 })
+		s.restore(at)
+		eventually(t, "the position of the copy", func() bool { return p.Position() == at })
+		is.Equal(out.count("from=4 era=5"), 1)
+		s.mu.Lock()
+		is.Equal(s.fresh[len(s.fresh)-1], true)
+		is.True(len(s.fresh) <= 3) // at most one more for the first era
+		s.mu.Unlock()
+	}
 }
 
 // TestMissingHeader guards against a balancer that stops to follow a store, or lists all endpoints again and again,
--- a/test/process/direct_test.go
+++ b/test/process/direct_test.go
@@ -393,6 +393,11 @@
 
 // isReader reports whether a balancer reads the store for its failure domain.
 func (f *directFleet) isReader(b *directBalancer) bool {
+	return f.gauge(b, "cornellb_is_reader") == "1"
+}
+
+// gauge returns the value of a gauge that a balancer exports.
+func (f *directFleet) gauge(b *directBalancer, name string) string {
 	f.t.Helper()
 	response, err := httpClient.Get(fmt.Sprintf("http://%s:9464/metrics", b.ip))
 	if err != nil {
@@ -404,12 +409,13 @@
 		f.t.Fatal(err)
 	}
 	for line := range strings.Lines(string(text)) {
-		if strings.HasPrefix(line, "cornellb_is_reader") {
-			return strings.HasSuffix(strings.TrimSpace(line), " 1")
+		if rest, ok := strings.CutPrefix(line, name); ok && (rest[0] == ' ' || rest[0] == '{') {
+			fields := strings.Fields(rest)
+			return fields[len(fields)-1]
 		}
 	}
-	f.t.Fatalf("%s exports no gauge cornellb_is_reader", b.id)
-	return false
+	f.t.Fatalf("%s exports no gauge %s", b.id, name)
+	return ""
 }
 
 // TestDirectSilentEndpoint guards against new flows for an endpoint that no longer answers, while its entry in the
--- a/test/process/restore_test.go
+++ b/test/process/restore_test.go
@@ -1,15 +1,12 @@
 package process_test
 
 import (
-	"bufio"
-	"fmt"
 	"net/http"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
-	"github.com/pkg/errors"
 
 	"cornellb/standin/direct"
 )
@@ -78,7 +75,7 @@
 	is.True(f.endpoints["i-f9"].Opened() > again)
 	for _, b := range f.balancers {
 		is.Equal(f.versionInForce(b), f.version)
-		is.NoErr(f.checkGauge(b, "cornellb_store_era", "2"))
+		is.Equal(f.gauge(b, "cornellb_store_era"), "2")
 		b.awaitLine(t, "store era increased")
 	}
 	r := load.Stop()
@@ -86,22 +83,3 @@
 	is.Equal(r.Unopened, int64(0))
 	is.Equal(r.TimedOut, int64(0))
 }
-
-// checkGauge returns an error unless a balancer exports a gauge with a value.
-func (f *directFleet) checkGauge(b *directBalancer, name, value string) error {
-	f.t.Helper()
-	response, err := httpClient.Get(fmt.Sprintf("http://%s:9464/metrics", b.ip))
-	if err != nil {
-		return err
-	}
-	defer response.Body.Close()
-	for lines := bufio.NewScanner(response.Body); lines.Scan(); {
-		if line := lines.Text(); strings.HasPrefix(line, name) {
-			if !strings.HasSuffix(line, " "+value) {
-				return errors.Errorf("%s exports %q, want the value %s", b.id, line, value)
-			}
-			return nil
-		}
-	}
-	return errors.Errorf("%s exports no gauge %s", b.id, name)
-}
