--- a/test/process/direct_test.go
+++ b/test/process/direct_test.go
@@ -66,8 +66,14 @@
 	process              *process
 }
 
-// startDirect starts 4 balancers in two failure domains in front of 6 endpoints of two services.
+// startDirect starts 4 balancers in two failure domains in front of 6 endpoints of two services. The store sends no era.
 func startDirect(t *testing.T) *directFleet {
+	t.Helper()
+	return startDirectInEra(t, 0)
+}
+
+// startDirectInEra is startDirect with an era of the store.
+func startDirectInEra(t *testing.T, era uint64) *directFleet {
 	t.Helper()
 	port, err := netip.ParseAddrPort(freeAddress(t))
 	if err != nil {
@@ -77,6 +83,7 @@
 		t: t, folder: t.TempDir(), store: direct.NewStore(), port: port.Port(), endpoints: map[string]*direct.Endpoint{},
 		routes: map[netip.AddrPort]string{feedAddress: "feed", imageAddress: "images"},
 	}
+	f.store.SetEra(era)
 	t.Cleanup(f.close)
 	f.configure()
 	for i, domain := range []string{"attiki-a", "attiki-b", "attiki-a", "attiki-b"} {
@@ -386,6 +393,11 @@
 
 // isReader reports whether a balancer reads the store for its failure domain.
 func (f *directFleet) isReader(b *directBalancer) bool {
+	return f.gauge(b, "cornellb_is_reader") == "1"
+}
+
+// gauge returns the value of a gauge that a balancer exports.
+func (f *directFleet) gauge(b *directBalancer, name string) string {
 	f.t.Helper()
 	response, err := httpClient.Get(fmt.Sprintf("http://%s:9464/metrics", b.ip))
 	if err != nil {
@@ -397,12 +409,13 @@
 		f.t.Fatal(err)
 	}
 	for line := range strings.Lines(string(text)) {
-		if strings.HasPrefix(line, "cornellb_is_reader") {
-			return strings.HasSuffix(strings.TrimSpace(line), " 1")
+		if rest, ok := strings.CutPrefix(line, name); ok && (rest[0] == ' ' || rest[0] == '{') {
+			fields := strings.Fields(rest)
+			return fields[len(fields)-1]
 		}
 	}
-	f.t.Fatalf("%s exports no gauge cornellb_is_reader", b.id)
-	return false
+	f.t.Fatalf("%s exports no gauge %s", b.id, name)
+	return ""
 }
 
 // TestDirectSilentEndpoint guards against new flows for an endpoint that no longer answers, while its entry in the
