--- a/core/coordination/discovery/foreign_test.go
+++ b/core/coordination/discovery/foreign_test.go
@@ -38,20 +38,20 @@
 			}
 
 			watched := newState()
-			watched.Replace(start, []directory.Endpoint{own}, 10)
-			applied, _ := watched.Apply(start, []discovery.Change{{ID: "i-1", Endpoint: &foreign, Revision: 11}}, 10, 11)
+			watched.Replace(start, []directory.Endpoint{own}, at(10))
+			applied, _ := watched.Apply(start, []discovery.Change{{ID: "i-1", Endpoint: &foreign, Revision: 11}}, at(10), at(11))
 			is.Equal(openIDs(t, watched, start), want)
 			if foreign.Service != own.Service && foreign.StartedAt <= own.StartedAt {
 				is.True(applied[0].Endpoint == nil) // balancers that hear of it from this one must not use it either
 			}
-			watched.Apply(start, []discovery.Change{{ID: "i-1", Endpoint: &own, Revision: 12}}, 11, 12)
+			watched.Apply(start, []discovery.Change{{ID: "i-1", Endpoint: &own, Revision: 12}}, at(11), at(12))
 			if foreign.StartedAt <= own.StartedAt {
 				is.Equal(openIDs(t, watched, start), []string{"i-1"})
 			}
 
 			listed := newState()
-			listed.Replace(start, []directory.Endpoint{own}, 10)
-			listed.Replace(start, []directory.Endpoint{foreign}, 11)
+			listed.Replace(start, []directory.Endpoint{own}, at(10))
+			listed.Replace(start, []directory.Endpoint{foreign}, at(11))
 			is.Equal(openIDs(t, listed, start), want)
 		})
 	}
