Put evacuations of failure domains in force in the direct return mode

Cause: the operator can evacuate a failure domain by an object in the store, and balancers did not read it.

Change: core/coordination/evacuation keeps the set with the highest position and its age. The reader of a failure domain lists the objects when a watch of the endpoints shows a change that is not one of an endpoint; announcements and fetches carry the set. Without a set no flow is placed.

--- a/core/coordination/discovery/discovery.go
+++ b/core/coordination/discovery/discovery.go
@@ -68,6 +68,7 @@
 	recent         []Change  // changes after recentBase, newest last
 	recentBase     uint64
 	nextExpiry     time.Time // zero if nothing expires
+	evacuations    evacuations
 }
 
 // New returns a State without a configuration and without endpoints.
@@ -353,5 +354,6 @@
 	}
 	snapshot := directory.NewSnapshot(s.configuration, formerServices, endpoints)
 	snapshot.IsPartial = !s.isListed
+	s.evacuations.addTo(snapshot)
 	return snapshot, true
 }
--- /dev/null
+++ b/core/coordination/evacuation/evacuation_test.go
@@ -0,0 +1,196 @@
+package evacuation_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"cornellb/core/coordination/evacuation"
+	"cornellb/core/state/directory"
+)
+
+const rewriteTime = 2200 * time.Millisecond
+
+var start = time.Unix(1_800_000_000, 0)
+
+func newState() *evacuation.State {
+	return evacuation.New(evacuation.Config{RewriteTime: rewriteTime})
+}
+
+func set(era, revision uint64, domains ...string) *directory.Evacuations {
+	return &directory.Evacuations{Position: directory.Position{Era: era, Revision: revision}, Domains: domains}
+}
+
+// TestWatchConfirmsSet guards against an evacuation that goes unnoticed because changes of other objects are taken for
+// changes of endpoints, and against reads of the store that an unchanged revision makes needless.
+func TestWatchConfirmsSet(t *testing.T) {
+	tests := map[string]struct {
+		watch      evacuation.Watch
+		isOutdated bool
+	}{
+		"same revision":                     {watch: evacuation.Watch{After: 10, Revision: 10}},
+		"older revision":                    {watch: evacuation.Watch{After: 5, Revision: 8}},
+		"all changes are of endpoints":      {watch: evacuation.Watch{After: 8, Revision: 12, Changed: []uint64{9, 10, 11, 12}}},
+		"one change is not of an endpoint":  {watch: evacuation.Watch{After: 10, Revision: 12, Changed: []uint64{12}}, isOutdated: true},
+		"an endpoint twice, another object": {watch: evacuation.Watch{After: 10, Revision: 12, Changed: []uint64{11, 11}}, isOutdated: true},
+		"only changes before the set":       {watch: evacuation.Watch{After: 5, Revision: 12, Changed: []uint64{6, 7}}, isOutdated: true},
+		"changes between are missing":       {watch: evacuation.Watch{After: 11, Revision: 12, Changed: []uint64{12}}, isOutdated: true},
+		"newer era":                         {watch: evacuation.Watch{Era: 2, After: 3, Revision: 3}, isOutdated: true},
+		"older era":                         {watch: evacuation.Watch{After: 20, Revision: 30}},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			if c.watch.Era == 0 && name != "older era" {
+				c.watch.Era = 1
+			}
+			s := newState()
+			is.True(s.NeedsRead(start, time.Hour))
+			s.Merge(start, set(1, 10, "attiki-1"), start)
+			s.ObserveWatch(c.watch, start.Add(time.Second))
+			is.Equal(s.NeedsRead(start.Add(time.Second), time.Hour), c.isOutdated)
+			is.Equal(s.Age(start.Add(time.Second)) == 0, !c.isOutdated && name != "older era")
+		})
+	}
+}
+
+// TestRestoredStoreKeepsEvacuation guards against new flows to an evacuated failure domain because the store was restored
+// from a copy without its object, and against an evacuation that stays although the operator does not repeat it.
+func TestRestoredStoreKeepsEvacuation(t *testing.T) {
+	is := is.New(t)
+	s := newState()
+	s.Merge(start, set(1, 90, "attiki-2"), start)
+	is.True(s.Merge(start, set(2, 40, "attiki-1"), start))
+	is.Equal(s.Domains(start.Add(rewriteTime-1)), []string{"attiki-1", "attiki-2"})
+	is.Equal(s.Current().Domains, []string{"attiki-1"}) // others are told what the store has
+	is.True(!s.Merge(start, set(1, 99, "attiki-3"), start))
+	is.Equal(s.Domains(start.Add(rewriteTime)), []string{"attiki-1"})
+}
+
+// TestSetWithoutPosition guards against an evacuation that stays in force after its end, because the store then has no
+// list with a revision.
+func TestSetWithoutPosition(t *testing.T) {
+	is := is.New(t)
+	s := newState()
+	s.Merge(start, set(1, 10, "attiki-1"), start)
+	is.True(s.Merge(start, &directory.Evacuations{Position: s.Locate(directory.Position{Era: 1, Revision: 8})}, start))
+	is.Equal(s.Domains(start), nil)
+	is.Equal(s.Locate(directory.Position{Era: 1, Revision: 8}), directory.Position{Era: 1, Revision: 11}) // unchanged
+}
+
+// world is a store with its history, and balancers that exchange sets.
+type world struct {
+	now       time.Time
+	at        directory.Position
+	domains   []string
+	changed   []uint64 // revisions of changes of endpoints in this era
+	history   map[directory.Position][]string
+	balancers []*evacuation.State
+	positions []directory.Position // of each balancer's set, as last seen
+	messages  []message
+}
+
+type message struct {
+	set  directory.Evacuations
+	asOf time.Time
+}
+
+func (w *world) write(domains []string) {
+	w.at.Revision++
+	w.domains = domains
+	w.history[w.at] = domains
+}
+
+func (w *world) read(i int) {
+	w.balancers[i].Merge(w.now, &directory.Evacuations{Position: w.at, Domains: w.domains}, w.now)
+}
+
+// TestBalancersAgree guards against balancers that return to an older set, or that never get the newest one, whatever the
+// order of reads, watches and messages, also late and repeated ones, and across restores of the store.
+func TestBalancersAgree(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		is := is.New(t)
+		w := &world{now: start, at: directory.Position{Era: 1, Revision: 1}, history: map[directory.Position][]string{}}
+		w.history[w.at] = nil
+		for range 4 {
+			w.balancers = append(w.balancers, newState())
+			w.positions = append(w.positions, directory.Position{})
+		}
+		balancer := rapid.IntRange(0, len(w.balancers)-1)
+		domain := rapid.SampledFrom([]string{"attiki-1", "attiki-2", "attiki-3"})
+		t.Repeat(map[string]func(*rapid.T){
+			"wait": func(t *rapid.T) {
+				w.now = w.now.Add(time.Duration(rapid.IntRange(1, 1500).Draw(t, "ms")) * time.Millisecond)
+			},
+			"evacuate or restore": func(t *rapid.T) {
+				name := domain.Draw(t, "domain")
+				list := slices.DeleteFunc(slices.Clone(w.domains), func(s string) bool { return s == name })
+				if len(list) == len(w.domains) {
+					list = append(list, name)
+					slices.Sort(list)
+				}
+				w.write(list)
+			},
+			"change an endpoint": func(*rapid.T) {
+				w.write(w.domains)
+				w.changed = append(w.changed, w.at.Revision)
+			},
+			"restore the store": func(t *rapid.T) {
+				copied := directory.Position{Era: w.at.Era, Revision: rapid.Uint64Range(1, w.at.Revision).Draw(t, "copy")}
+				if _, ok := w.history[copied]; !ok {
+					copied = w.at // before the copy that this era began with
+				}
+				w.domains, w.changed = w.history[copied], nil
+				w.at = directory.Position{Era: copied.Era + 1, Revision: copied.Revision}
+				w.history[w.at] = w.domains
+			},
+			"read":             func(t *rapid.T) { w.read(balancer.Draw(t, "balancer")) },
+			"read, late reply": func(*rapid.T) { w.messages = append(w.messages, message{set: w.set(), asOf: w.now}) },
+			"watch": func(t *rapid.T) {
+				after := rapid.Uint64Range(0, w.at.Revision).Draw(t, "after")
+				list := slices.DeleteFunc(slices.Clone(w.changed), func(r uint64) bool { return r <= after })
+				s := w.balancers[balancer.Draw(t, "balancer")]
+				s.ObserveWatch(evacuation.Watch{Era: w.at.Era, After: after, Revision: w.at.Revision, Changed: list}, w.now)
+			},
+			"send": func(t *rapid.T) {
+				if s := w.balancers[balancer.Draw(t, "balancer")]; s.IsKnown() {
+					w.messages = append(w.messages, message{set: s.Current(), asOf: s.AsOf()})
+				}
+			},
+			"receive": func(t *rapid.T) {
+				if len(w.messages) > 0 {
+					m := rapid.SampledFrom(w.messages).Draw(t, "message")
+					w.balancers[balancer.Draw(t, "balancer")].Merge(w.now, &m.set, m.asOf)
+				}
+			},
+			"": func(*rapid.T) {
+				for i, s := range w.balancers {
+					if !s.IsKnown() {
+						continue
+					}
+					x := s.Current()
+					is.True(x.Compare(w.positions[i]) >= 0)                 // never an older set
+					is.True(slices.Equal(x.Domains, w.history[x.Position])) // the whole set of that position
+					for _, name := range x.Domains {
+						is.True(slices.Contains(s.Domains(w.now), name))
+					}
+					w.positions[i] = x.Position
+				}
+			},
+		})
+		w.read(0)
+		newest := w.balancers[0].Current()
+		for _, s := range w.balancers {
+			s.Merge(w.now, &newest, w.now)
+			is.True(slices.Equal(s.Domains(w.now.Add(rewriteTime)), w.domains))
+			is.Equal(s.Age(w.now), time.Duration(0))
+		}
+	})
+}
+
+func (w *world) set() directory.Evacuations {
+	return directory.Evacuations{Position: w.at, Domains: w.domains}
+}
--- a/core/coordination/spread/spread.go
+++ b/core/coordination/spread/spread.go
@@ -48,6 +48,7 @@
 type Limits struct {
 	Configuration time.Duration
 	Endpoints     time.Duration
+	Evacuations   time.Duration
 }
 
 // Announcement is the state that a reader announces to the balancers of its failure domain.
@@ -75,6 +76,7 @@
 	rank          int           // index of this balancer in members, -1 if it is not among them
 	configuration freshness
 	endpoints     freshness
+	evacuations   freshness
 	lastSequences map[member.Incarnation]uint64 // highest sequence number received, by reader
 	sequence      uint64                        // of this balancer's last announcement
 }
@@ -84,12 +86,14 @@
 	return &Plan{
 		self: self, failureDomain: failureDomain, lastSequences: make(map[member.Incarnation]uint64),
 		configuration: freshness{limit: l.Configuration}, endpoints: freshness{limit: l.Endpoints},
+		evacuations: freshness{limit: l.Evacuations},
 	}
 }
 
 // SetLimits replaces the limits.
 func (p *Plan) SetLimits(l Limits) {
 	p.configuration.limit, p.endpoints.limit = l.Configuration, l.Endpoints
+	p.evacuations.limit = l.Evacuations
 }
 
 // SetView replaces the view of the members.
@@ -170,7 +174,7 @@
 // then on the balancer waits for announcements if it is not the reader. What it knows does not count as the newest for
 // that: the reads may have failed, and the list may be old.
 func (p *Plan) MarkStarted(now time.Time) {
-	for _, k := range []*freshness{&p.configuration, &p.endpoints} {
+	for _, k := range []*freshness{&p.configuration, &p.endpoints, &p.evacuations} {
 		k.waitFrom, k.hasTakenOver = now, false
 	}
 }
--- a/core/coordination/steering/choice.go
+++ b/core/coordination/steering/choice.go
@@ -59,6 +59,8 @@
 	loadSum   float64
 	weightSum float64
 	eligible  int // endpoints that are not suspect
+
+	capacity float64 // slots of the endpoints, reduced by their speeds and weights
 }
 
 // mean returns the load per unit of weight, so that endpoints with a reduced weight count as less capacity.
@@ -104,11 +106,12 @@
 	s.aggregatedAt, s.meanLoad = now, 0
 	reporters := f.domainOf(f.config.FailureDomain).reporters
 	for _, g := range s.groups {
-		g.loadSum, g.weightSum, g.eligible = 0, 0, 0
+		g.loadSum, g.weightSum, g.capacity, g.eligible = 0, 0, 0, 0
 		for _, v := range g.endpoints {
 			f.suspectUnconfirmed(now, v)
 			g.loadSum += f.loadOf(now, v, 0)
 			g.weightSum += v.weight()
+			g.capacity += v.weight() * f.speedOf(now, v) * float64(max(v.endpoint.Slots, 1))
 			if v.isEligible(now) && f.mayOpen(now, v) {
 				g.eligible++
 			}
@@ -126,7 +129,7 @@
 func (f *Forwarder) choose(now time.Time, name string, excluded *endpointState) (*endpointState, Reason) {
 	s := f.serviceNamed(now, name)
 	var best *endpointState
-	lowest := math.Inf(1)
+	var lowest float64
 	reason := ReasonNoEndpoint
 	if len(s.groups) > 0 && !slices.ContainsFunc(s.groups, f.isOpenGroup) {
 		reason = ReasonEvacuated
@@ -134,9 +137,11 @@
 	hasOwn := s.own != nil && f.isOpenGroup(s.own)
 	if hasOwn {
 		best, lowest = f.cheapest(now, s, s.own, f.choices(s.own), excluded)
+	} else {
+		best, lowest = f.chooseElsewhere(now, s, excluded)
 	}
 	other, otherLoad := f.leastLoaded(now, s)
-	if other != nil && !(hasOwn && lowest < suspectPenalty && s.own.mean() <= SpillFactor*otherLoad+SpillMargin) {
+	if hasOwn && other != nil && !(lowest < suspectPenalty && s.own.mean() <= SpillFactor*otherLoad+SpillMargin) {
 		candidate, cost := f.cheapest(now, s, other, otherDomainChoices, excluded)
 		if best == nil || cost < max(lowest, suspectPenalty) {
 			best, lowest = candidate, cost
--- a/core/coordination/steering/flow.go
+++ b/core/coordination/steering/flow.go
@@ -75,6 +75,9 @@
 	}
 	v := w.endpointState
 	w.request = 0 // a client that retransmits has not been refused
+	if f.isEvacuated(v.endpoint.FailureDomain) {
+		return nil, true
+	}
 	if now.Sub(w.openedAt) < answerTime {
 		return v, true // the first packet was delayed on its way here; the endpoint had no time to answer
 	}
--- a/core/coordination/steering/steering.go
+++ b/core/coordination/steering/steering.go
@@ -314,9 +314,11 @@
 // isConfigured reports whether there is a configuration.
 func (f *Forwarder) isConfigured() bool { return f.snapshot.Configuration.Version != 0 }
 
-// isComplete reports whether there is a configuration and a list of endpoints. Before, no packet is refused for lack of
-// a route or an endpoint.
-func (f *Forwarder) isComplete() bool { return f.isConfigured() && !f.snapshot.IsPartial }
+// isComplete reports whether there is a configuration and a list of endpoints, and the evacuations are known. Before, no
+// packet is refused for lack of a route or an endpoint.
+func (f *Forwarder) isComplete() bool {
+	return f.isConfigured() && !f.snapshot.IsPartial && !f.snapshot.IsUnsure
+}
 
 // handleExisting decides on a packet of a flow that is already open. The cookie is enough to forward it: a balancer
 // that has just started can forward flows opened by other balancers before it has received the configuration, which is
--- a/core/state/directory/directory.go
+++ b/core/state/directory/directory.go
@@ -95,6 +95,7 @@
 	Configuration  *Configuration
 	IsPartial      bool            // no list of endpoints has been received yet
 	Evacuated      map[string]bool // failure domains to which no new flow may go
+	IsUnsure       bool            // Evacuated is not known yet, so that no flow may be placed
 	routes         map[netip.AddrPort]*Route
 	formerServices map[netip.AddrPort][]string // services that earlier versions used, by service address
 	cookies        map[uint32]cookieEndpoints
--- a/core/state/metric/metric.go
+++ b/core/state/metric/metric.go
@@ -54,6 +54,8 @@
 	Version           Gauge = "configuration_version"
 	VersionAge        Gauge = "configuration_age_milliseconds" // time since the version was last known to be the newest
 	EndpointAge       Gauge = "endpoints_age_milliseconds"     // time since the endpoint list was last known to be complete
+	EvacuatedDomains  Gauge = "evacuated_domains"              // failure domains to which no new flow may go
+	EvacuationsAge    Gauge = "evacuations_age_milliseconds"   // time since the evacuations were last known to be the newest
 	OpenEndpoints     Gauge = "endpoints_open"                 // endpoints that may get new flows
 	SuspectEndpoints  Gauge = "endpoints_suspect"              // endpoints that are suspect and get no new flows
 	DegradedEndpoints Gauge = "endpoints_degraded"             // endpoints with fewer new flows because they fail requests
--- a/io/transport/direct/direct.go
+++ b/io/transport/direct/direct.go
@@ -73,6 +73,9 @@
 	// WatchEndpoints waits for changes after a revision, at most for wait, and returns them with the revision to
 	// continue from. The reply holds all changes that the store had acknowledged when the call began. The error is a *HistoryGoneError if the store no longer has all changes after that revision.
 	WatchEndpoints(ctx context.Context, after uint64, wait time.Duration) ([]discovery.Change, uint64, []Fault, error)
+	// Evacuations returns the evacuated failure domains as of some time during the call. The position has the revision of
+	// the whole store, or none if the store has no list.
+	Evacuations(ctx context.Context) (*directory.Evacuations, []Fault, error)
 }
 
 // Clock tells the time and waits.
@@ -107,6 +110,8 @@
 	state        *discovery.State
 	loggedFaults map[string]string // reasons of the faults that were logged, by subject and name; "" after recovery
 
+	evacuations evacuations
+
 	wasConfigurationRead bool // whether a read of the configuration has ended, also without success
 	wereEndpointsRead    bool // the same for the endpoint list
 
@@ -125,7 +130,7 @@
 const reregistrationTime = 2200 * time.Millisecond
 
 // Start opens the sockets and starts to read the store. The process is ready once it has a configuration and a list of
-// endpoints.
+// endpoints, and knows the evacuations if there may be any.
 func Start(s *Settings, a Adapters, log *slog.Logger) (*Process, error) {
 	if a.Dialer == nil {
 		a.Dialer = &net.Dialer{}
@@ -135,6 +140,8 @@
 		configurationRequest: newReadRequest(), endpointsRequest: newReadRequest(),
 		state: discovery.New(discovery.Config{FlowAge: s.FlowAge, ReregistrationTime: reregistrationTime}),
 	}
+	p.evacuations.request = newReadRequest()
+	p.refreshEvacuations(a.Clock.Now())
 	p.ctx, p.cancel = context.WithCancel(context.Background())
 	if err := p.open(); err != nil {
 		p.Close()
@@ -145,6 +152,7 @@
 	p.work.Go(p.socket.run)
 	p.work.Go(p.readConfiguration)
 	p.work.Go(p.readEndpoints)
+	p.work.Go(p.readEvacuations)
 	p.work.Go(p.tick)
 	return p, nil
 }
@@ -191,7 +199,9 @@
 		Version  uint64 `json:"version"`
 		Revision uint64 `json:"revision"`
 		IsReady  bool   `json:"is_ready"`
-	}{p.settings.ID, p.state.Version(), p.state.Revision(), p.IsReady()}
+
+		Evacuated []string `json:"evacuated"` // failure domains
+	}{p.settings.ID, p.state.Version(), p.state.Revision(), p.IsReady(), p.evacuations.inForce}
 }
 
 // update calls change under p.mu and then publishes the state that it changed.
@@ -205,13 +215,14 @@
 
 // publish passes a new snapshot to the forwarder if the state has changed. The caller holds p.mu.
 func (p *Process) publish(now time.Time) {
+	p.refreshEvacuations(now)
 	if s, ok := p.state.Snapshot(now); ok {
 		p.forwarder.SetSnapshot(now, s)
 		if p.isServing.Load() {
 			p.socket.wakeHeld()
 		}
 	}
-	if p.state.IsComplete() && !p.isComplete.Swap(true) {
+	if p.state.IsComplete() && p.state.KnowsEvacuations() && !p.isComplete.Swap(true) {
 		p.log.Info("ready", "version", p.state.Version(), "revision", p.state.Revision())
 	}
 }
--- a/io/transport/direct/direct_test.go
+++ b/io/transport/direct/direct_test.go
@@ -32,6 +32,9 @@
 	waits         []time.Duration // of the watches
 	configuration func() (*directory.Configuration, []direct.Fault, error)
 	endpoints     func(ctx context.Context) ([]directory.Endpoint, uint64, []direct.Fault, error)
+
+	evacuationReads int
+	evacuations     func() (*directory.Evacuations, []direct.Fault, error) // called under mu; nil for none
 }
 
 func (s *store) Configuration(context.Context) (*directory.Configuration, []direct.Fault, error) {
@@ -113,9 +116,14 @@
 
 // start starts a balancer that reads the store and contacts no other balancer.
 func start(t *testing.T, s *store) (*direct.Process, *output) {
+	t.Helper()
+	return startWith(t, testSettings(), s)
+}
+
+func startWith(t *testing.T, settings *direct.Settings, s direct.Store) (*direct.Process, *output) {
 	t.Helper()
 	out := &output{}
-	p, err := direct.Start(testSettings(), direct.Adapters{Store: s, Codec: codec{}, Clock: clock{}},
+	p, err := direct.Start(settings, direct.Adapters{Store: s, Codec: codec{}, Clock: clock{}},
 		slog.New(slog.NewTextHandler(out, nil)))
 	if err != nil {
 		t.Fatal(err)
--- a/io/transport/direct/gauges.go
+++ b/io/transport/direct/gauges.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"maps"
 	"time"
 
 	"cornellb/core/state/metric"
@@ -30,6 +31,7 @@
 			return 0
 		},
 	}
+	maps.Copy(gauges, p.evacuationGauges())
 	if log := p.adapters.Log; log != nil {
 		gauges[metric.LogLinesDropped] = func(time.Time) int64 { return log.Dropped() }
 	}
--- a/io/transport/direct/peers.go
+++ b/io/transport/direct/peers.go
@@ -146,6 +146,7 @@
 		Version: p.state.Version(), Revision: p.state.Revision(), Base: base, Changes: changes,
 		LapsedFor: max(p.state.LapsedUntil().Sub(now), 0),
 	}
+	a.Evacuations, a.EvacuationsAge = p.sentEvacuations(now, maxAnnouncedBytes)
 	h.plan.Complete(now, a)
 	next := h.plan.Children(a.Reader)
 	p.mu.Unlock()
@@ -182,6 +183,7 @@
 		p.state.ExtendLapsedUntil(now.Add(a.LapsedFor))
 		p.apply(now, a.Changes, a.Base, a.Revision, "balancer")
 		isBehind = p.state.Version() < a.Version || p.state.Revision() < a.Revision
+		isBehind = p.acceptEvacuations(now, a) || isBehind
 		h.updateFreshness(now, a)
 	})
 	switch {
@@ -213,6 +215,9 @@
 	relayed := *a
 	relayed.VersionAge += held
 	relayed.RevisionAge += held
+	if relayed.Evacuations != nil || relayed.EvacuationsAge > 0 {
+		relayed.EvacuationsAge += held
+	}
 	h.send(next, &relayed)
 }
 
@@ -248,9 +253,10 @@
 	defer cancel()
 	p.mu.Lock()
 	version, revision := p.state.Version(), p.state.Revision()
+	evacuations, began := p.evacuationsPosition(), p.adapters.Clock.Now()
 	p.mu.Unlock()
 	d, err := h.transport.FetchDirectory(ctx, from, wire.DirectoryQuery{
-		Version: version, Endpoints: directory.Position{Revision: revision},
+		Version: version, Endpoints: directory.Position{Revision: revision}, Evacuations: evacuations,
 	})
 	if err != nil {
 		p.metrics.Count(metric.StoreCalls, "balancer failed", 1)
@@ -259,6 +265,7 @@
 	}
 	p.metrics.Count(metric.StoreCalls, "balancer answered", 1)
 	p.update(func(now time.Time) {
+		p.mergeEvacuations(now, d.Evacuations, began.Add(-d.EvacuationsAge), "balancer")
 		if d.Configuration != nil {
 			p.configure(now, d.Configuration, "balancer")
 		}
@@ -287,6 +294,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	d := &wire.DirectoryUpdate{}
+	h.addEvacuations(d, q)
 	if p.state.Version() > version {
 		var ok bool
 		if d.Difference, ok = p.state.VersionsSince(version); !ok {
--- a/io/transport/direct/reader.go
+++ b/io/transport/direct/reader.go
@@ -72,9 +72,12 @@
 	return p.settings
 }
 
-// limits returns how old the configuration and the endpoints may be before a balancer reads the store itself.
+// limits returns how old the configuration, the endpoints and the evacuations may be before a balancer reads the store itself.
 func (s *Settings) limits() spread.Limits {
-	return spread.Limits{Configuration: share(takeoverShare, s.applyLimit()), Endpoints: share(endpointsShare, s.leaveLimit())}
+	return spread.Limits{
+		Configuration: share(takeoverShare, s.applyLimit()), Endpoints: share(endpointsShare, s.leaveLimit()),
+		Evacuations: share(evacuationsShare, s.EvacuateLimit),
+	}
 }
 
 // watchWait returns how long a watch of the endpoints waits for changes.
@@ -295,6 +298,7 @@
 			now = end // the reply may have been on its way for a while; the store has waited for as long as it was asked to
 		}
 		p.peers.plan.ConfirmEndpoints(now)
+		p.observeRevision(now, changes, directory.Position{Revision: after}, directory.Position{Revision: revision})
 	})
 	return nil
 }
--- a/io/transport/direct/reload.go
+++ b/io/transport/direct/reload.go
@@ -2,7 +2,7 @@
 
 import "slices"
 
-// Reload applies new settings for peers, apply limit, leave limit and drain limit. Names, addresses, the readiness path and the flow
+// Reload applies new settings for peers, apply limit, leave limit, evacuate limit and drain limit. Names, addresses, the readiness path and the flow
 // age cannot change while the process runs. A change of them takes effect at the next start and is logged.
 func (p *Process) Reload(s *Settings) {
 	p.mu.Lock()
@@ -10,6 +10,7 @@
 	old := p.settings
 	applied := *old
 	applied.Peers, applied.ApplyLimit, applied.LeaveLimit, applied.DrainLimit = s.Peers, s.ApplyLimit, s.LeaveLimit, s.DrainLimit
+	applied.EvacuateLimit = s.EvacuateLimit
 	var changed []string
 	if !slices.Equal(old.Peers, s.Peers) {
 		changed = append(changed, "peers")
@@ -26,6 +27,9 @@
 	if old.DrainLimit != s.DrainLimit {
 		changed = append(changed, "drain_limit")
 	}
+	if old.EvacuateLimit != s.EvacuateLimit {
+		changed = append(changed, "evacuate_limit")
+	}
 	p.settings = &applied
 	limits := applied.limits()
 	p.peers.plan.SetLimits(limits)
