--- a/command/forwarder.go
+++ b/command/forwarder.go
@@ -57,12 +57,15 @@
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	defer signal.Stop(signals)
 	clock := client.SystemClock{}
-	storeClient := client.NewClient(store, storeTimeout, clock)
-	storeClient.OnSilent = func(operation string) {
-		log.Warn("connection to the store silent; call repeated on a new one", "call", operation)
+	newClient := func() *client.Client {
+		c := client.NewClient(store, storeTimeout, clock)
+		c.OnSilent = func(operation string) {
+			log.Warn("connection to the store silent; call repeated on a new one", "call", operation)
+		}
+		return c
 	}
 	p, err := direct.Start(s, direct.Adapters{
-		Store: &platform.Store{Client: storeClient, Clock: clock},
+		Store: &platform.Store{Client: newClient(), EvacuationsClient: newClient(), Clock: clock},
 		Codec: platform.Codec{ClientPort: s.PacketAddress.Port()},
 		Clock: clock, Log: out,
 	}, log)
--- a/core/coordination/evacuation/evacuation.go
+++ b/core/coordination/evacuation/evacuation.go
@@ -107,8 +107,8 @@
 func (s *State) ObserveWatch(w Watch, asOf time.Time) {
 	at := directory.Position{Era: w.Era, Revision: w.Revision}
 	switch {
-	case !s.isKnown || w.Era < s.current.Era:
-	case at.Compare(s.current.Position) <= 0:
+	case !s.isKnown || at.Compare(s.current.Position) < 0: // a late reply
+	case at == s.current.Position:
 		s.confirm(asOf)
 	case w.Era == s.current.Era && s.explains(w):
 		s.current.Revision = w.Revision
--- a/core/coordination/steering/evacuated.go
+++ b/core/coordination/steering/evacuated.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -37,32 +38,31 @@
 // if no domain has an endpoint that is not suspect. Domains from which no balancer reports are left out while there are
 // others, since their load is unknown.
 func (f *Forwarder) randomGroup(now time.Time, s *service) *group {
-	var usable, reported []*group
+	capacity, flows, isReported := 0.0, 0.0, false
+	isUsable := func(g *group) bool {
+		return g != s.own && f.isOpenGroup(g) && g.eligible > 0 && g.domain.isEligible(now) &&
+			(!isReported || g.domain.reporters > 0)
+	}
+	isReported = slices.ContainsFunc(s.groups, func(g *group) bool { return isUsable(g) && g.domain.reporters > 0 })
 	for _, g := range s.groups {
-		if g == s.own || !f.isOpenGroup(g) || g.eligible == 0 || !g.domain.isEligible(now) {
-			continue
-		}
-		usable = append(usable, g)
-		if g.domain.reporters > 0 {
-			reported = append(reported, g)
+		if isUsable(g) {
+			capacity += g.capacity
+			flows += g.mean() * g.capacity
 		}
 	}
-	if len(reported) > 0 {
-		usable = reported
-	}
-	capacity, flows := 0.0, 0.0
-	for _, g := range usable {
-		capacity += g.capacity
-		flows += g.mean() * g.capacity
-	}
 	// A domain is full at the load at which the flows of another domain would leave it.
 	full := SpillFactor*flows/capacity + SpillMargin
 	free := 0.0
-	for _, g := range usable {
-		free += g.free(full)
+	for _, g := range s.groups {
+		if isUsable(g) {
+			free += g.free(full)
+		}
 	}
 	at := f.random.Float64() * free
-	for _, g := range usable {
+	for _, g := range s.groups {
+		if !isUsable(g) {
+			continue
+		}
 		if at -= g.free(full); at < 0 {
 			return g
 		}
--- a/core/coordination/steering/evacuated_test.go
+++ b/core/coordination/steering/evacuated_test.go
@@ -92,7 +92,8 @@
 // TestEvacuatedThirdSpreads guards against endpoints that drown while a third of a fleet is evacuated: all balancers there
 // know the loads of the other failure domains from reports of 2 of them in each second that are up to 3 s old, and would
 // send all of their flows to the domain that looked less loaded then. No domain may get more than SpillFactor times the
-// flows for each slot of another, and no endpoint more than twice the mean.
+// flows for each slot of another, beyond which flows leave a domain, and no endpoint more than twice the mean: while the mean
+// endpoint has a request for each of its 2 slots, that one has as many waiting, and its queue of 8 still has room.
 func TestEvacuatedThirdSpreads(t *testing.T) {
 	const (
 		balancersEach, endpointsEach = 12, 10
--- a/io/transport/direct/direct_test.go
+++ b/io/transport/direct/direct_test.go
@@ -298,6 +298,7 @@
 		"nothing":          {change: func(*direct.Settings) {}},
 		"drain limit":      {change: func(s *direct.Settings) { s.DrainLimit++ }},
 		"leave limit":      {change: func(s *direct.Settings) { s.LeaveLimit++ }},
+		"evacuate limit":   {change: func(s *direct.Settings) { s.EvacuateLimit++ }},
 		"host":             {change: func(s *direct.Settings) { s.ID = "front-2" }, needsRestart: true},
 		"failure domain":   {change: func(s *direct.Settings) { s.FailureDomain = "attiki-2" }, needsRestart: true},
 		"flow age":         {change: func(s *direct.Settings) { s.FlowAge++ }, needsRestart: true},
--- a/io/transport/direct/evacuations_test.go
+++ b/io/transport/direct/evacuations_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"fmt"
+	"net"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -50,6 +53,9 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.err != nil {
+		return nil, 0, nil, s.err
+	}
 	return nil, s.revision, nil, ctx.Err()
 }
 
@@ -126,3 +132,52 @@
 	p.Reload(testSettings())
 	eventually(t, "restored", func() bool { return out.count("failure domain restored") == 1 })
 }
+
+// freePort returns a port of the loopback address that was free a moment ago.
+func freePort(t *testing.T) netip.AddrPort {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return netip.MustParseAddrPort(l.Addr().String())
+}
+
+// TestRefusedBalancerFollows guards against an evacuation that does not reach a balancer which the store refuses, from a
+// balancer of its own failure domain or of another one, also if the set is too large for an announcement.
+func TestRefusedBalancerFollows(t *testing.T) {
+	for name, c := range map[string]struct {
+		failureDomain string // of the balancer that the store serves
+		domains       int
+	}{
+		"own failure domain":              {"attiki-1", 1},
+		"own failure domain, large set":   {"attiki-1", 400},
+		"other failure domain":            {"attiki-2", 1},
+		"other failure domain, large set": {"attiki-2", 400},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			served, refused := withEvacuations(), withEvacuations()
+			served.ID, served.FailureDomain, served.PeerAddress = "front-2", c.failureDomain, freePort(t)
+			refused.PeerAddress, refused.Peers = freePort(t), []netip.AddrPort{served.PeerAddress}
+			s := newEvacuationStore(nil)
+			startWith(t, served, s)
+			p, out := startWith(t, refused, newEvacuationStore(errors.New("connection refused")))
+			eventually(t, "ready", p.IsReady)
+			var domains []string
+			for i := range c.domains {
+				domains = append(domains, fmt.Sprintf("region-7-zone-%d", i))
+			}
+			s.write(nil, domains...)
+			written := time.Now()
+			eventually(t, "evacuated", func() bool { return out.count("failure domain evacuated") == c.domains })
+			is.True(time.Since(written) < evacuateLimit)
+			s.write(nil)
+			written = time.Now()
+			eventually(t, "restored", func() bool { return out.count("failure domain restored") == c.domains })
+			is.True(time.Since(written) < evacuateLimit)
+		})
+	}
+}
