Test evacuations while the store is silent or slow

Cause: the bound for a store that is not fully available was tested with refused calls only.

Change: cases of a store that is silent for a failure domain, and slow for all.

--- a/test/process/evacuation_test.go
+++ b/test/process/evacuation_test.go
@@ -89,16 +89,19 @@
 const packetTime = 200 * time.Millisecond
 
 // TestDirectEvacuation guards against new flows in an evacuated failure domain and against none in one that is no longer
-// evacuated, also on balancers that the store refuses. Open flows must stay.
+// evacuated, also on balancers that the store does not serve, or not fully. Open flows must stay.
 func TestDirectEvacuation(t *testing.T) {
 	t.Parallel()
 	tests := map[string]struct {
-		refused int // balancers that the store refuses, the first ones
-		limit   time.Duration
+		affected int // balancers with the fault, the first ones
+		fault    direct.Fault
+		limit    time.Duration
 	}{
-		"store answers":                        {0, evacuateLimit},
-		"store refuses one balancer":           {1, evacuateLimit},
-		"store refuses a whole failure domain": {2, evacuateLimit + evacuateDelay},
+		"store answers":                        {limit: evacuateLimit},
+		"store refuses one balancer":           {1, direct.Fault{Status: 503}, evacuateLimit},
+		"store refuses a whole failure domain": {2, direct.Fault{Status: 503}, evacuateLimit + evacuateDelay},
+		"store is silent for a failure domain": {2, direct.Fault{IsSilent: true}, evacuateLimit + evacuateDelay},
+		"store is slow for all":                {4, direct.Fault{Delay: time.Second}, evacuateLimit + evacuateDelay},
 	}
 	for name, c := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -107,8 +110,8 @@
 			f.enableEvacuations()
 			load := f.startLoad(fewFlows)
 			time.Sleep(3 * time.Second) // the balancers discover each other and choose their readers
-			for _, b := range f.balancers[:c.refused] {
-				b.storeListener.SetFault(direct.Fault{Status: 503})
+			for _, b := range f.balancers[:c.affected] {
+				b.storeListener.SetFault(c.fault)
 			}
 			f.evacuate("attiki-a")
 			f.awaitEvacuated(c.limit, "attiki-a")
