--- a/io/transport/direct/direct.go
+++ b/io/transport/direct/direct.go
@@ -76,6 +76,9 @@
 	WatchEndpoints(ctx context.Context, after directory.Position, wait time.Duration) (
 		[]discovery.Change, directory.Position, []Fault, error,
 	)
+	// Evacuations returns the evacuated failure domains as of some time during the call. The position has the revision of
+	// the whole store, or none if the store has no list.
+	Evacuations(ctx context.Context) (*directory.Evacuations, []Fault, error)
 }
 
 // Clock tells the time and waits.
@@ -110,6 +113,8 @@
 	state        *discovery.State
 	loggedFaults map[string]string // reasons of the faults that were logged, by subject and name; "" after recovery
 
+	evacuations evacuations
+
 	wasConfigurationRead bool // whether a read of the configuration has ended, also without success
 	wereEndpointsRead    bool // the same for the endpoint list
 
@@ -128,7 +133,7 @@
 const reregistrationTime = 2200 * time.Millisecond
 
 // Start opens the sockets and starts to read the store. The process is ready once it has a configuration and a list of
-// endpoints.
+// endpoints, and knows the evacuations if there may be any.
 func Start(s *Settings, a Adapters, log *slog.Logger) (*Process, error) {
 	if a.Dialer == nil {
 		a.Dialer = &net.Dialer{}
@@ -140,6 +145,8 @@
 			FlowAge: s.FlowAge, ReregistrationTime: reregistrationTime, LeaveTime: s.leaveLimit(),
 		}),
 	}
+	p.evacuations.request = newReadRequest()
+	p.refreshEvacuations(a.Clock.Now())
 	p.ctx, p.cancel = context.WithCancel(context.Background())
 	if err := p.open(); err != nil {
 		p.Close()
@@ -150,6 +157,7 @@
 	p.work.Go(p.socket.run)
 	p.work.Go(p.readConfiguration)
 	p.work.Go(p.readEndpoints)
+	p.work.Go(p.readEvacuations)
 	p.work.Go(p.tick)
 	return p, nil
 }
@@ -197,7 +205,9 @@
 		Revision uint64 `json:"revision"`
 		Era      uint64 `json:"era"`
 		IsReady  bool   `json:"is_ready"`
-	}{p.settings.ID, p.state.Version(), p.state.Position().Revision, p.state.Position().Era, p.IsReady()}
+
+		Evacuated []string `json:"evacuated"` // failure domains
+	}{p.settings.ID, p.state.Version(), p.state.Position().Revision, p.state.Position().Era, p.IsReady(), p.evacuations.inForce}
 }
 
 // update calls change under p.mu and then publishes the state that it changed.
@@ -211,13 +221,14 @@
 
 // publish passes a new snapshot to the forwarder if the state has changed. The caller holds p.mu.
 func (p *Process) publish(now time.Time) {
+	p.refreshEvacuations(now)
 	if s, ok := p.state.Snapshot(now); ok {
 		p.forwarder.SetSnapshot(now, s)
 		if p.isServing.Load() {
 			p.socket.wakeHeld()
 		}
 	}
-	if p.state.IsComplete() && !p.isComplete.Swap(true) {
+	if p.state.IsComplete() && p.state.KnowsEvacuations() && !p.isComplete.Swap(true) {
 		p.log.Info("ready", "version", p.state.Version(), "revision", p.state.Position().Revision)
 	}
 }
--- a/io/transport/direct/era_test.go
+++ b/io/transport/direct/era_test.go
@@ -68,6 +68,12 @@
 	return nil, s.position(), nil, nil
 }
 
+func (s *restorableStore) Evacuations(context.Context) (*directory.Evacuations, []direct.Fault, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return &directory.Evacuations{Position: s.position()}, nil, nil
+}
+
 func startRestorable(t *testing.T, s *restorableStore) (*direct.Process, *output) {
 	t.Helper()
 	out := &output{}
--- a/io/transport/direct/peers.go
+++ b/io/transport/direct/peers.go
@@ -150,6 +150,7 @@
 		Version: p.state.Version(), Era: base.Era, Revision: p.state.Position().Revision, Base: base.Revision, Changes: changes,
 		LapsedFor: max(p.state.LapsedUntil().Sub(now), 0),
 	}
+	a.Evacuations, a.EvacuationsAge = p.sentEvacuations(now, maxAnnouncedBytes)
 	h.plan.Complete(now, a)
 	next := h.plan.Children(a.Reader)
 	p.mu.Unlock()
@@ -200,6 +201,7 @@
 		}
 		p.apply(now, a.Changes, directory.Position{Era: a.Era, Revision: a.Base}, a.Position(), "balancer")
 		isBehind = p.state.Version() < a.Version || p.state.Position().Compare(a.Position()) < 0
+		isBehind = p.acceptEvacuations(now, a) || isBehind
 		h.updateFreshness(now, a)
 	})
 	switch {
@@ -232,6 +234,9 @@
 	relayed.VersionAge += held
 	relayed.RevisionAge += held
 	relayed.LapsedFor = max(relayed.LapsedFor-held, 0)
+	if relayed.Evacuations != nil || relayed.EvacuationsAge > 0 {
+		relayed.EvacuationsAge += held
+	}
 	h.send(next, &relayed)
 }
 
@@ -267,9 +272,10 @@
 	defer cancel()
 	p.mu.Lock()
 	version, position := p.state.Version(), p.state.Position()
+	evacuations, began := p.evacuationsPosition(), p.adapters.Clock.Now()
 	p.mu.Unlock()
 	d, err := h.transport.FetchDirectory(ctx, from, wire.DirectoryQuery{
-		Version: version, Endpoints: position,
+		Version: version, Endpoints: position, Evacuations: evacuations,
 	})
 	if err != nil {
 		p.metrics.Count(metric.StoreCalls, "balancer failed", 1)
@@ -278,6 +284,7 @@
 	}
 	p.metrics.Count(metric.StoreCalls, "balancer answered", 1)
 	p.update(func(now time.Time) {
+		p.mergeEvacuations(now, d.Evacuations, began.Add(-d.EvacuationsAge), "balancer")
 		if d.Configuration != nil {
 			p.configure(now, d.Configuration, "balancer")
 		}
@@ -313,6 +320,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	d := &wire.DirectoryUpdate{}
+	h.addEvacuations(d, q)
 	if p.state.Version() > version {
 		var ok bool
 		if d.Difference, ok = p.state.VersionsSince(version); !ok {
