Judge a watch by the revisions of its changes alone

Cause: a mutation of the check of the revision from which a watch began failed no test: a change that the watch does not have leaves a revision without an event, which the count shows already.

Change: the check and the field are gone.

Result: tests of evacuation and io/transport/direct pass with -race.

--- a/core/coordination/evacuation/evacuation.go
+++ b/core/coordination/evacuation/evacuation.go
@@ -16,7 +16,7 @@
 //
 //	s := evacuation.New(evacuation.Config{RewriteTime: 2200 * time.Millisecond})
 //	s.Merge(now, &set, asOf) // read from the store, or received from another balancer
-//	s.ObserveWatch(evacuation.Watch{After: after, Revision: revision, Changed: revisions}, asOf)
+//	s.ObserveWatch(evacuation.Watch{Position: position, Changed: revisions}, asOf)
 //	if s.NeedsRead(now, maxAge) { ... }
 //	closed := s.Domains(now)
 //
@@ -96,33 +96,27 @@
 
 // Watch is the reply to a watch of the endpoints.
 type Watch struct {
-	Era      uint64
-	After    uint64   // the reply has all changes of endpoints after this revision
-	Revision uint64   // of the store at the reply
-	Changed  []uint64 // revisions of the changes
+	directory.Position          // of the store at the reply
+	Changed            []uint64 // revisions of the changes in the reply
 }
 
 // ObserveWatch takes into account that the store had the revision of a watch at asOf. The set stays the newest if each
 // revision since is the one of a change of an endpoint, as a revision has one change.
 func (s *State) ObserveWatch(w Watch, asOf time.Time) {
-	at := directory.Position{Era: w.Era, Revision: w.Revision}
 	switch {
-	case !s.isKnown || at.Compare(s.current.Position) < 0: // a late reply
-	case at == s.current.Position:
+	case !s.isKnown || w.Compare(s.current.Position) < 0: // a late reply
+	case w.Position == s.current.Position:
 		s.confirm(asOf)
 	case w.Era == s.current.Era && s.explains(w):
 		s.current.Revision = w.Revision
 		s.confirm(asOf)
-	case at.Compare(s.changedAt) > 0:
-		s.changedAt = at
+	case w.Compare(s.changedAt) > 0:
+		s.changedAt = w.Position
 	}
 }
 
-// explains reports whether all changes of the store since the set were changes of endpoints.
+// explains reports whether each revision of the store since the set is the one of a change of an endpoint.
 func (s *State) explains(w Watch) bool {
-	if w.After > s.current.Revision {
-		return false
-	}
 	seen := make(map[uint64]bool, len(w.Changed))
 	for _, r := range w.Changed {
 		if r > s.current.Revision && r <= w.Revision {
--- a/core/coordination/evacuation/evacuation_test.go
+++ b/core/coordination/evacuation/evacuation_test.go
@@ -28,19 +28,19 @@
 // changes of endpoints, and against reads of the store that an unchanged revision makes needless.
 func TestWatchConfirmsSet(t *testing.T) {
 	tests := map[string]struct {
-		watch      evacuation.Watch
+		at         directory.Position
+		changed    []uint64
 		isOutdated bool // so that a read is due
 		isLate     bool // so that the watch says nothing
 	}{
-		"same revision":                     {watch: evacuation.Watch{Era: 1, After: 10, Revision: 10}},
-		"older revision":                    {watch: evacuation.Watch{Era: 1, After: 5, Revision: 8}, isLate: true},
-		"all changes are of endpoints":      {watch: evacuation.Watch{Era: 1, After: 8, Revision: 12, Changed: []uint64{9, 10, 11, 12}}},
-		"one change is not of an endpoint":  {watch: evacuation.Watch{Era: 1, After: 10, Revision: 12, Changed: []uint64{12}}, isOutdated: true},
-		"an endpoint twice, another object": {watch: evacuation.Watch{Era: 1, After: 10, Revision: 12, Changed: []uint64{11, 11}}, isOutdated: true},
-		"only changes before the set":       {watch: evacuation.Watch{Era: 1, After: 5, Revision: 12, Changed: []uint64{6, 7}}, isOutdated: true},
-		"changes between are missing":       {watch: evacuation.Watch{Era: 1, After: 11, Revision: 12, Changed: []uint64{12}}, isOutdated: true},
-		"newer era":                         {watch: evacuation.Watch{Era: 2, After: 3, Revision: 3}, isOutdated: true},
-		"older era":                         {watch: evacuation.Watch{After: 20, Revision: 30}, isLate: true},
+		"same revision":                     {at: directory.Position{Era: 1, Revision: 10}},
+		"older revision":                    {at: directory.Position{Era: 1, Revision: 8}, isLate: true},
+		"all changes are of endpoints":      {at: directory.Position{Era: 1, Revision: 12}, changed: []uint64{9, 10, 11, 12}},
+		"one change is not of an endpoint":  {at: directory.Position{Era: 1, Revision: 12}, changed: []uint64{12}, isOutdated: true},
+		"an endpoint twice, another object": {at: directory.Position{Era: 1, Revision: 12}, changed: []uint64{11, 11}, isOutdated: true},
+		"only changes before the set":       {at: directory.Position{Era: 1, Revision: 12}, changed: []uint64{6, 7}, isOutdated: true},
+		"newer era":                         {at: directory.Position{Era: 2, Revision: 3}, isOutdated: true},
+		"older era":                         {at: directory.Position{Revision: 30}, isLate: true},
 	}
 	for name, c := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -48,7 +48,7 @@
 			s := newState()
 			is.True(s.NeedsRead(start, time.Hour))
 			s.Merge(start, set(1, 10, "attiki-1"), start)
-			s.ObserveWatch(c.watch, start.Add(time.Second))
+			s.ObserveWatch(evacuation.Watch{Position: c.at, Changed: c.changed}, start.Add(time.Second))
 			is.Equal(s.NeedsRead(start.Add(time.Second), time.Hour), c.isOutdated)
 			is.Equal(s.Age(start.Add(time.Second)) == 0, !c.isOutdated && !c.isLate)
 		})
@@ -151,7 +151,7 @@
 				after := rapid.Uint64Range(0, w.at.Revision).Draw(t, "after")
 				list := slices.DeleteFunc(slices.Clone(w.changed), func(r uint64) bool { return r <= after })
 				s := w.balancers[balancer.Draw(t, "balancer")]
-				s.ObserveWatch(evacuation.Watch{Era: w.at.Era, After: after, Revision: w.at.Revision, Changed: list}, w.now)
+				s.ObserveWatch(evacuation.Watch{Position: w.at, Changed: list}, w.now)
 			},
 			"send": func(t *rapid.T) {
 				if s := w.balancers[balancer.Draw(t, "balancer")]; s.IsKnown() {
--- a/io/transport/direct/evacuations.go
+++ b/io/transport/direct/evacuations.go
@@ -129,12 +129,12 @@
 }
 
 // observeRevision takes into account which revision a watch of the endpoints has shown. The caller holds p.mu.
-func (p *Process) observeRevision(asOf time.Time, changes []discovery.Change, after, at directory.Position) {
+func (p *Process) observeRevision(asOf time.Time, changes []discovery.Change, at directory.Position) {
 	s := p.evacuations.state
 	if s == nil {
 		return
 	}
-	w := evacuation.Watch{Era: at.Era, After: after.Revision, Revision: at.Revision}
+	w := evacuation.Watch{Position: at}
 	for _, c := range changes {
 		w.Changed = append(w.Changed, c.Revision)
 	}
--- a/io/transport/direct/reader.go
+++ b/io/transport/direct/reader.go
@@ -298,7 +298,7 @@
 			now = end // the reply may have been on its way for a while; the store has waited for as long as it was asked to
 		}
 		p.peers.plan.ConfirmEndpoints(now)
-		p.observeRevision(now, changes, directory.Position{Revision: after}, directory.Position{Revision: revision})
+		p.observeRevision(now, changes, directory.Position{Revision: revision})
 	})
 	return nil
 }
