--- a/io/transport/direct/reader.go
+++ b/io/transport/direct/reader.go
@@ -287,7 +287,7 @@
 			p.peers.plan.ConfirmEndpoints(began)
 		}
 		if isFresh {
-			p.observeRevision(began, nil, at, at) // the list says nothing about other objects but that some may have changed
+			p.observeRevision(began, nil, at) // the list says nothing about other objects but that some may have changed
 		}
 	})
 	p.log.Info("all endpoints read from the store", "endpoints", len(list), "revision", at.Revision, "era", at.Era)
@@ -314,7 +314,7 @@
 			now = end // the reply may have been on its way for a while; the store has waited for as long as it was asked to
 		}
 		p.peers.plan.ConfirmEndpoints(now)
-		p.observeRevision(now, changes, after, at)
+		p.observeRevision(now, changes, at)
 	})
 	return nil
 }
