Create and delete evacuations in the platform's store

Cause: the commands evacuate and restore need writes to the store, and only reads exist.

The stand-in of the store accepts POST and DELETE.

--- a/io/transport/platform/client.go
+++ b/io/transport/platform/client.go
@@ -169,7 +169,7 @@
 	Expected   uint64        // version that a conditional write expects
 	Body       []byte        // JSON, or nil
 	Wait       time.Duration // of a watch; 0 for other calls
-	Reply      any           // pointer into which the JSON body of a response with status 200 is decoded
+	Reply      any           // pointer into which the JSON body of a response with status 200 is decoded; nil for some writes
 	// Lenient holds further options for a reply that cannot be decoded as a whole: it is then decoded once more with them,
 	// through a filter that replaces values which no JSON decoder accepts. If it is nil, the call fails.
 	Lenient json.Options
@@ -276,7 +276,14 @@
 	switch response.StatusCode {
 	case http.StatusNoContent:
 		return nil
+	case http.StatusCreated, http.StatusAccepted:
+		if k.Method != http.MethodGet && k.Reply == nil {
+			return nil
+		}
 	case http.StatusOK:
+		if k.Reply == nil {
+			return nil // of a write whose caller needs no more than the status
+		}
 		if err := k.decodeReply(body); err != nil {
 			return &UnavailableError{Operation: k.Operation, Err: errors.Wrap(err, "read reply")}
 		}
--- a/standin/direct/store.go
+++ b/standin/direct/store.go
@@ -121,6 +121,9 @@
 	fault   atomic.Pointer[Fault]
 	calls   atomic.Int64 // all calls, also watches and calls without an answer
 	reads   atomic.Int64 // calls for a single object; balancers read only the configuration that way
+
+	writes     atomic.Int64 // calls that create or delete an object
+	loseWrites atomic.Int64 // number of further writes whose answers are lost
 }
 
 // Listen starts a listener. Port 0 selects a free port.
@@ -170,7 +173,7 @@
 	d.store.mu.Unlock()
 	switch {
 	case r.Method != http.MethodGet:
-		w.WriteHeader(http.StatusMethodNotAllowed)
+		d.write(w, r, kind, name)
 	case hasName:
 		d.reads.Add(1)
 		s.get(w, kind, name)
