Add the commands evacuate and restore and the status of a fleet

Cause: operators had to write evacuations to the store by hand and to ask each balancer whether they are in force.

The status of a balancer lists its members with their operator addresses and the position of its evacuations; ?brief=1 leaves the members out, as a fleet is asked member by member. The request mode is as before.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -24,6 +24,7 @@
 	"caller":   newCallerCommand,
 	"fabric":   newFabricCommand,
 	"platform": newPlatformCommand,
+	"store":    newStoreCommand,
 	"verdict":  newVerdictCommand,
 	"wait":     newWaitCommand,
 }
--- a/command/cases_test.go
+++ b/command/cases_test.go
@@ -16,6 +16,7 @@
 
 	"cornellb/command"
 	transport "cornellb/io/transport/platform"
+	"cornellb/standin/direct"
 	standin "cornellb/standin/platform"
 )
 
@@ -24,7 +25,9 @@
 // TestCases runs the command lines in the file cmd of each folder in testdata/cases against a stand-in of the platform,
 // started for that folder, and compares their output and exit codes with the file expected. In cmd, "fault MODE" sets
 // the fault mode of the platform, "lose N" makes it drop the responses of the next N writes, and "put KIND NAME FILE"
-// writes an object. It guards against changes of messages, exit codes and results that operators and their scripts rely
+// writes an object. $STORE is the URL of a stand-in of the direct return mode's store; "lose-answers N" makes it drop the
+// responses of the next N writes, and "refuse STATUS" answer all calls with that status, 0 to end that. LONG is a name of
+// 257 bytes. It guards against changes of messages, exit codes and results that operators and their scripts rely
 // on.
 func TestCases(t *testing.T) {
 	folders, err := filepath.Glob("testdata/cases/*")
@@ -57,6 +60,11 @@
 	h := httptest.NewServer(server)
 	defer h.Close()
 	defer server.Close()
+	store, err := direct.NewStore().Listen("127.0.0.1:0")
+	is.NoErr(err)
+	defer store.Close()
+	replacer := strings.NewReplacer("$PLATFORM", h.URL, "$STORE_ADDRESS", store.Address, "$STORE", "http://"+store.Address,
+		"LONG", strings.Repeat("n", 257))
 	t.Chdir(folder)
 	var out bytes.Buffer
 	for line := range strings.Lines(string(commands)) {
@@ -69,6 +77,14 @@
 			count, err := strconv.Atoi(words[1])
 			is.NoErr(err)
 			server.SetFault(standin.Fault{LoseWrites: count})
+		case "lose-answers", "refuse":
+			number, err := strconv.Atoi(words[1])
+			is.NoErr(err)
+			if words[0] == "refuse" {
+				store.SetFault(direct.Fault{Status: number})
+			} else {
+				store.LoseWriteAnswers(number)
+			}
 		case "put":
 			value, err := os.ReadFile(words[3])
 			is.NoErr(err)
@@ -78,7 +94,7 @@
 			client.Close()
 		case "cornellb":
 			for i := range words {
-				words[i] = strings.ReplaceAll(words[i], "$PLATFORM", h.URL)
+				words[i] = replacer.Replace(words[i])
 			}
 			code := command.Execute(words[1:], &out, &out)
 			fmt.Fprintf(&out, "exit %d\n", code)
@@ -86,5 +102,6 @@
 			t.Fatalf("cmd: unknown command %q", line)
 		}
 	}
-	return strings.ReplaceAll(out.String(), h.URL, "$PLATFORM")
+	return strings.NewReplacer(h.URL, "$PLATFORM", "http://"+store.Address, "$STORE", store.Address, "$STORE_ADDRESS").Replace(
+		out.String())
 }
--- a/command/status.go
+++ b/command/status.go
@@ -16,20 +16,48 @@
 	transport "cornellb/io/transport/platform"
 )
 
+// statusOptions holds the flags of the subcommand.
+type statusOptions struct {
+	platform platformFlags
+	balancer balancerFlag
+	output   string
+}
+
+// Values of --output.
+const (
+	outputText = "text"
+	outputJSON = "json"
+)
+
 func newStatusCommand() *cobra.Command {
-	f := &platformFlags{}
+	o := &statusOptions{}
 	c := &cobra.Command{
 		Use:   "status",
 		Short: "Print which version of the tables each balancer has in force",
 		Long: `Print which version of the tables each balancer has in force, by failure domain.
 
 The readers of a failure domain write its status at most every 5 s and only when it has changed, so that the columns
-may be some seconds old.`,
-		Example: "  cornellb status --platform http://127.0.0.1:7600",
-		Args:    asInputError(cobra.NoArgs),
-		RunE:    func(c *cobra.Command, _ []string) error { return runStatus(c, f) },
+may be some seconds old.
+
+With --balancer, print what the balancers of the direct return mode have in force, as they say themselves: for each
+failure domain how many are ready and their versions of the configuration, and for each evacuated failure domain on how
+many balancers the evacuation is in force.`,
+		Example: `  cornellb status --platform http://127.0.0.1:7600
+  cornellb status --balancer 192.0.2.1:9464 --output json`,
+		Args: asInputError(cobra.NoArgs),
+		RunE: func(c *cobra.Command, _ []string) error {
+			if o.balancer.isSet() {
+				return runBalancerStatus(c, o)
+			}
+			if o.output != outputText {
+				return &InputError{Message: "--output needs --balancer"}
+			}
+			return runStatus(c, &o.platform)
+		},
 	}
-	f.register(c)
+	o.platform.register(c)
+	o.balancer.register(c)
+	c.Flags().StringVar(&o.output, "output", outputText, "form of the output with --balancer, text or json")
 	return c
 }
 
--- a/command/watch.go
+++ b/command/watch.go
@@ -21,6 +21,7 @@
 // watchOptions holds the flags of the subcommand.
 type watchOptions struct {
 	platform platformFlags
+	balancer balancerFlag
 	until    uint64
 }
 
@@ -32,12 +33,22 @@
 		Long: `Print new versions of the tables and the version that each balancer has in force, whenever they change.
 
 The command runs until it is interrupted or, with --until, until all serving balancers have that version in force. It
-goes on while the platform is unavailable; --timeout bounds a single call.`,
-		Example: "  cornellb watch --platform http://127.0.0.1:7600 --until 7",
-		Args:    asInputError(cobra.NoArgs),
-		RunE:    func(c *cobra.Command, _ []string) error { return runWatch(c, o) },
+goes on while the platform is unavailable; --timeout bounds a single call.
+
+With --balancer, print what the balancers of the direct return mode have in force, as "cornellb status" describes it,
+whenever it changes. --until then means a version of the configuration.`,
+		Example: `  cornellb watch --platform http://127.0.0.1:7600 --until 7
+  cornellb watch --balancer 192.0.2.1:9464`,
+		Args: asInputError(cobra.NoArgs),
+		RunE: func(c *cobra.Command, _ []string) error {
+			if o.balancer.isSet() {
+				return runBalancerWatch(c, o)
+			}
+			return runWatch(c, o)
+		},
 	}
 	o.platform.register(c)
+	o.balancer.register(c)
 	c.Flags().Uint64Var(&o.until, "until", 0, "end when all serving balancers have this version in force")
 	return c
 }
--- a/io/transport/direct/direct.go
+++ b/io/transport/direct/direct.go
@@ -190,20 +190,6 @@
 // IsReady reports whether the fabric may send packets to this balancer.
 func (p *Process) IsReady() bool { return p.isComplete.Load() && !p.isDraining.Load() }
 
-// Status implements operator.StateProvider.
-func (p *Process) Status() any {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return struct {
-		Host     string `json:"host"`
-		Version  uint64 `json:"version"`
-		Revision uint64 `json:"revision"`
-		IsReady  bool   `json:"is_ready"`
-
-		Evacuated []string `json:"evacuated"` // failure domains
-	}{p.settings.ID, p.state.Version(), p.state.Revision(), p.IsReady(), p.evacuations.inForce}
-}
-
 // update calls change under p.mu and then publishes the state that it changed.
 func (p *Process) update(change func(now time.Time)) {
 	p.mu.Lock()
--- a/io/transport/operator/server.go
+++ b/io/transport/operator/server.go
@@ -8,6 +8,12 @@
 //
 // Paths: /healthz (the process is running), /readyz (the fabric may send packets), /metrics (Prometheus text format),
 // /status (JSON).
+//
+// A Client reads /status of the balancers of a fleet in the direct return mode, and Summarize adds up what they have in
+// force:
+//
+//	members, err := client.Members(ctx, "192.0.2.1:9000")
+//	summary := operator.Summarize(client.Ask(ctx, members))
 package operator
 
 import (
@@ -34,6 +40,14 @@
 	Status() any   // encoded as JSON for /status
 }
 
+// BriefStatusProvider is a StateProvider that has a status without its members too, for callers that ask all members.
+type BriefStatusProvider interface {
+	BriefStatus() any
+}
+
+// briefQuery selects the brief status. A process without one returns the whole status.
+const briefQuery = "brief=1"
+
 // Server is the HTTP server for operators.
 type Server struct {
 	http     *http.Server
@@ -88,9 +102,13 @@
 		}
 		writeLine(w, http.StatusOK, "ready")
 	})
-	mux.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) {
+	mux.HandleFunc("GET /status", func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set("Content-Type", "application/json")
-		if err := json.NewEncoder(w).Encode(state.Status()); err != nil {
+		status := state.Status
+		if b, ok := state.(BriefStatusProvider); ok && r.URL.RawQuery == briefQuery {
+			status = b.BriefStatus
+		}
+		if err := json.NewEncoder(w).Encode(status()); err != nil {
 			slog.Warn("response to GET /status not written", "error", err)
 		}
 	})
