Refuse addresses that are no balancer of the direct return mode

Change: a status without members or of another mode is an error; a call of evacuate and restore ends after 3 s; rounds of questions to a large fleet are apart by as long as one takes.

--- a/command/evacuate.go
+++ b/command/evacuate.go
@@ -20,7 +20,10 @@
 	// evacuationTimeout limits the commands. An evacuation is in force within 5 s, and up to 15 s later while the store is
 	// not fully available; the rest is for the write and for the last answers.
 	evacuationTimeout = 25 * time.Second
-	// evacuationInterval is the time between two questions to the balancers that are behind.
+	// evacuationCallTimeout limits a call to the store, so that several fit into the time of the command while answers are
+	// lost.
+	evacuationCallTimeout = 3 * time.Second
+	// evacuationInterval is the least time between two questions to the balancers that are behind.
 	evacuationInterval = 500 * time.Millisecond
 	// listInterval is the least time between two reads of the list of balancers, which is large in a large fleet.
 	listInterval = 2 * time.Second
@@ -114,7 +117,7 @@
 			return err
 		}
 	}
-	client, err := o.platform.client()
+	client, err := o.platform.clientWithin(evacuationCallTimeout)
 	if err != nil {
 		return err
 	}
@@ -204,6 +207,7 @@
 	var listedAt time.Time
 	var listErr error
 	for {
+		began := time.Now()
 		if time.Since(listedAt) >= listInterval { // some that do not answer may be gone
 			members, err := client.Members(ctx, address)
 			if err == nil {
@@ -226,7 +230,7 @@
 		case ctx.Err() != nil:
 			return w.behindError()
 		}
-		sleep(ctx, evacuationInterval)
+		sleep(ctx, max(evacuationInterval, time.Since(began))) // longer in a large fleet, whose round takes long
 	}
 }
 
--- a/command/fleet_test.go
+++ b/command/fleet_test.go
@@ -110,6 +110,12 @@
 	is.Equal(code, 1)
 	is.Equal(out, "failure domain attiki-2 evacuated\n"+
 		"cornellb: the evacuation of attiki-2 is not in force on 1 of 3 reachable balancers: front-2\n")
+	brief, err := http.Get("http://" + f.settings[1].OperatorAddress.String() + "/status?brief=1")
+	is.NoErr(err)
+	defer brief.Body.Close()
+	body, err := io.ReadAll(brief.Body)
+	is.NoErr(err)
+	is.True(bytes.Contains(body, []byte(`"evacuated":["attiki-2"]`)) && !bytes.Contains(body, []byte("members")))
 	out, code = f.run("status --balancer BALANCER")
 	is.Equal(code, 0)
 	is.Equal(out, `balancers: 3 of 3 answer, 3 ready
--- a/command/platform.go
+++ b/command/platform.go
@@ -27,11 +27,16 @@
 
 // client returns a client of the platform, or an *InputError if the URL is faulty.
 func (f *platformFlags) client() (*transport.Client, error) {
+	return f.clientWithin(transport.DefaultTimeout)
+}
+
+// clientWithin does the same with a limit for each call.
+func (f *platformFlags) clientWithin(limit time.Duration) (*transport.Client, error) {
 	u, err := url.Parse(f.url)
 	if err != nil || u.Host == "" || u.Scheme != "http" && u.Scheme != "https" {
 		return nil, &InputError{Message: "--platform must be the URL of the platform's API, not " + quotedOrEmpty(f.url)}
 	}
-	return transport.NewClient(f.url, min(f.timeout, transport.DefaultTimeout), transport.SystemClock{}), nil
+	return transport.NewClient(f.url, min(f.timeout, limit), transport.SystemClock{}), nil
 }
 
 func (f *platformFlags) context(c *cobra.Command) (context.Context, context.CancelFunc) {
--- a/io/transport/operator/client.go
+++ b/io/transport/operator/client.go
@@ -54,9 +54,8 @@
 // Members returns the members that a balancer reaches, with itself. The error is a *StatusError.
 func (c *Client) Members(ctx context.Context, address string) ([]BalancerMember, error) {
 	s, err := c.status(ctx, address, "/status")
-	if err == nil && len(s.Members) == 0 {
-		err = &StatusError{Address: address, Err: errors.New("the status has no members; the balancer is none of the direct " +
-			"return mode, or of an older version")}
+	if err == nil && (s.Host == "" || len(s.Members) == 0) {
+		err = &StatusError{Address: address, Err: errors.New("it is not one of the direct return mode, or of an older version")}
 	}
 	if err != nil {
 		return nil, err
@@ -100,7 +99,7 @@
 	}
 	response, err := c.http.Do(request)
 	if err != nil {
-		return errors.Cause(err)
+		return err
 	}
 	defer response.Body.Close()
 	if response.StatusCode != http.StatusOK {
--- a/io/transport/operator/status.go
+++ b/io/transport/operator/status.go
@@ -15,7 +15,7 @@
 	Revision      uint64 `json:"revision"`
 	IsReady       bool   `json:"is_ready"`
 
-	Evacuated   []string             `json:"evacuated"`   // failure domains whose evacuation is in force, sorted
+	Evacuated   []string             `json:"evacuated"`   // failure domains whose evacuation is in force
 	Evacuations *EvacuationsPosition `json:"evacuations"` // nil if the set is not known or not read
 
 	Members []BalancerMember `json:"members,omitempty"` // reachable ones, with the balancer itself; not in a brief status
@@ -40,10 +40,7 @@
 }
 
 // Evacuates reports whether the evacuation of a failure domain is in force.
-func (s *BalancerStatus) Evacuates(domain string) bool {
-	_, ok := slices.BinarySearch(s.Evacuated, domain)
-	return ok
-}
+func (s *BalancerStatus) Evacuates(domain string) bool { return slices.Contains(s.Evacuated, domain) }
 
 // HasRestored reports whether no evacuation of the failure domain is in force. A balancer that does not know the set is
 // not counted, unless it is ready and so needs none.
