Compare positions before an evacuation counts as in force or lifted

Cause: after evacuate and restore in quick succession, a balancer that had seen neither counted as restored, although the set between them could still reach it.

Change: the command reads the position of the store after its write, and a balancer counts only with a set of that position or a later one. The call for the list of members has 5 s, as it is large in a large fleet.

--- a/command/evacuate.go
+++ b/command/evacuate.go
@@ -124,9 +124,8 @@
 	defer client.Close()
 	ctx, cancel := o.platform.context(c)
 	defer cancel()
-	e := &transport.Evacuator{
-		Store: &platform.Store{Client: client, Clock: transport.SystemClock{}}, Clock: transport.SystemClock{},
-	}
+	store := &platform.Store{Client: client, Clock: transport.SystemClock{}}
+	e := &transport.Evacuator{Store: store, Clock: transport.SystemClock{}}
 	write := e.Restore
 	if isEvacuated {
 		write = e.Evacuate
@@ -140,6 +139,7 @@
 		return nil
 	}
 	w := newEvacuationWait(domain, isEvacuated)
+	w.written = readPosition(ctx, store)
 	if err := w.run(ctx, o.balancer.address); err != nil {
 		return err
 	}
@@ -151,6 +151,20 @@
 	return err
 }
 
+// readPosition returns a position of the store after the write, or none if the store does not answer or has none. A balancer
+// with a set of an earlier position may yet put a write before that in force, such as an evacuation that was ended at once.
+func readPosition(ctx context.Context, store *platform.Store) directory.Position {
+	for range transport.ReadAttempts {
+		if e, _, err := store.Evacuations(ctx); err == nil && e.Revision > 0 {
+			return e.Position
+		} else if err == nil {
+			break
+		}
+		sleep(ctx, evacuationInterval)
+	}
+	return directory.Position{}
+}
+
 func writtenText(isEvacuated, isChanged bool) string {
 	switch {
 	case isEvacuated && isChanged:
@@ -187,6 +201,7 @@
 type evacuationWait struct {
 	domain      string
 	isEvacuated bool
+	written     directory.Position // of the store after the write; none if unknown
 	members     []operator.BalancerMember
 	hasDomain   bool            // whether a balancer is in the failure domain
 	confirmed   map[string]bool // operator addresses of balancers where the evacuation is in force or lifted
@@ -258,7 +273,7 @@
 		switch {
 		case b.Status == nil:
 			w.unanswered[b.OperatorAddress] = w.unanswered[b.OperatorAddress] || ctx.Err() == nil
-		case w.isEvacuated && b.Status.Evacuates(w.domain), !w.isEvacuated && b.Status.HasRestored(w.domain):
+		case w.isConfirmedBy(b.Status):
 			w.confirmed[b.OperatorAddress] = true
 		default:
 			w.unanswered[b.OperatorAddress] = false
@@ -266,6 +281,18 @@
 	}
 }
 
+// isConfirmedBy reports whether a balancer has the evacuation in force, or lifted, and no older set that it may replace. A
+// ready balancer without a set needs none.
+func (w *evacuationWait) isConfirmedBy(s *operator.BalancerStatus) bool {
+	if p := s.Evacuations; p != nil && (directory.Position{Era: p.Era, Revision: p.Revision}).Compare(w.written) < 0 {
+		return false
+	}
+	if w.isEvacuated {
+		return s.Evacuates(w.domain)
+	}
+	return s.HasRestored(w.domain)
+}
+
 func (w *evacuationWait) behindError() error {
 	e := &BehindError{Domain: w.domain, IsEvacuated: w.isEvacuated, Balancers: len(w.members)}
 	for _, m := range w.pending() {
--- a/command/fleet_test.go
+++ b/command/fleet_test.go
@@ -159,7 +159,9 @@
 	dead, err := net.Listen("tcp4", "127.0.0.1:0")
 	is.NoErr(err)
 	is.NoErr(dead.Close())
-	status := operator.BalancerStatus{Host: "front-0", IsReady: true, Evacuated: []string{"attiki-1"}}
+	status := operator.BalancerStatus{
+		Host: "front-0", IsReady: true, Evacuated: []string{"attiki-1"}, Evacuations: &operator.EvacuationsPosition{Revision: 1000},
+	}
 	for i := range 9 {
 		status.Members = append(status.Members, operator.BalancerMember{
 			ID: fmt.Sprint("front-", i), FailureDomain: "attiki-1", OperatorAddress: dead.Addr().String(),
@@ -177,3 +179,29 @@
 		"reachable balancers: front-1 (no answer), front-2 (no answer), front-3 (no answer), front-4 (no answer), "+
 		"front-5 (no answer), 3 others\n")
 }
+
+// TestOldSetIsBehind guards against an evacuation that is reported as lifted while a balancer has not even put it in force:
+// it was ended at once, and the balancer has the set from before both writes.
+func TestOldSetIsBehind(t *testing.T) {
+	for revision, want := range map[uint64]int{1: 1, 3: 0} { // the store has revision 3 after the command
+		t.Run(fmt.Sprint(revision), func(t *testing.T) {
+			is := is.New(t)
+			s := standin.NewStore()
+			is.NoErr(s.Put("evacuations", "attiki-1", struct{}{}))
+			store, err := s.Listen("127.0.0.1:0")
+			is.NoErr(err)
+			defer store.Close()
+			asked := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				_ = json.NewEncoder(w).Encode(operator.BalancerStatus{
+					Host: "front-0", IsReady: true, Evacuations: &operator.EvacuationsPosition{Revision: revision},
+					Members: []operator.BalancerMember{{ID: "front-0", FailureDomain: "attiki-1"}},
+				})
+			}))
+			defer asked.Close()
+			var out bytes.Buffer
+			code := command.Execute([]string{"restore", "attiki-1", "--platform", "http://" + store.Address, "--timeout", "2s",
+				"--balancer", asked.Listener.Addr().String()}, &out, &out)
+			is.Equal(code, want)
+		})
+	}
+}
--- a/io/transport/operator/client.go
+++ b/io/transport/operator/client.go
@@ -13,12 +13,13 @@
 )
 
 const (
-	// callTimeout limits one call to a balancer. A host of a twentieth of a core answers in less; one that does not
-	// answer must not hold up the others.
+	// callTimeout limits one call for a brief status, so that balancers that do not answer do not hold up the others.
 	callTimeout = 2 * time.Second
+	// listTimeout limits the call for the members. 12,000 of them with 100 bytes each take 1 s on a link of 10 Mbit/s.
+	listTimeout = 5 * time.Second
 	// maxCalls is the number of calls at a time, well below the usual limit of 1,024 descriptors.
 	maxCalls = 64
-	// maxStatusBytes is the largest status that is read. One with 12,000 members has about 1.5 MB.
+	// maxStatusBytes is the largest status that is read, over ten times the size for 12,000 members.
 	maxStatusBytes = 16 << 20
 )
 
@@ -42,10 +43,7 @@
 
 // NewClient returns a Client.
 func NewClient() *Client {
-	return &Client{http: &http.Client{
-		Timeout:   callTimeout,
-		Transport: &http.Transport{MaxIdleConnsPerHost: 1, MaxIdleConns: maxCalls},
-	}}
+	return &Client{http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, MaxIdleConns: maxCalls}}}
 }
 
 // Close closes idle connections.
@@ -53,7 +51,7 @@
 
 // Members returns the members that a balancer reaches, with itself. The error is a *StatusError.
 func (c *Client) Members(ctx context.Context, address string) ([]BalancerMember, error) {
-	s, err := c.status(ctx, address, "/status")
+	s, err := c.status(ctx, address, "/status", listTimeout)
 	if err == nil && (s.Host == "" || len(s.Members) == 0) {
 		err = &StatusError{Address: address, Err: errors.New("it is not one of the direct return mode, or of an older version")}
 	}
@@ -76,7 +74,7 @@
 	for i, m := range members {
 		g.Go(func() error {
 			list[i].BalancerMember = m
-			list[i].Status, list[i].Err = c.status(ctx, m.OperatorAddress, "/status?"+briefQuery)
+			list[i].Status, list[i].Err = c.status(ctx, m.OperatorAddress, "/status?"+briefQuery, callTimeout)
 			return nil // the errors are in the list
 		})
 	}
@@ -84,7 +82,9 @@
 	return list
 }
 
-func (c *Client) status(ctx context.Context, address, path string) (*BalancerStatus, error) {
+func (c *Client) status(ctx context.Context, address, path string, timeout time.Duration) (*BalancerStatus, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
 	s := &BalancerStatus{}
 	if err := c.get(ctx, "http://"+address+path, s); err != nil {
 		return nil, &StatusError{Address: address, Err: err}
