Learn the speed of each endpoint from response times

Servers of one service differ in speed, and some slow down long before they are full; placement by flows per slot gives them their full share until their requests fail. Balancers now average the ratio of response times to the usual ones for each endpoint, report first-hand averages to their failure domain, and place new flows in proportion to the speed.

--- a/core/coordination/steering/choice.go
+++ b/core/coordination/steering/choice.go
@@ -195,7 +195,7 @@
 	}
 	f.suspectUnconfirmed(now, v)
 	reporters := f.domainOf(f.config.FailureDomain).reporters
-	cost := f.loadOf(now, v, reporters) + tieBreakNoise*f.random.Float64()/float64(max(v.endpoint.Slots, 1))
+	cost := f.loadOf(now, v, reporters) - f.speedDiscount(now, v, reporters) + tieBreakNoise*f.random.Float64()/float64(max(v.endpoint.Slots, 1))
 	if v.penalty > 0 {
 		// The load of an endpoint with few flows is a poor basis for the penalty, so at least the mean load is used.
 		cost += max(cost, s.meanLoad) * (1/v.weight() - 1)
--- a/core/coordination/steering/endpoint.go
+++ b/core/coordination/steering/endpoint.go
@@ -42,6 +42,8 @@
 	evidence   evidence // sum of both at the last update of the weights
 	penalty    float64  // 1 - weight: the part of its share of new flows that the endpoint does not get
 	isDegraded bool     // state that was last logged
+
+	speed endpointSpeed
 }
 
 // resetHealth discards what was observed and reported of the former incarnations of endpoints that have restarted.
@@ -87,6 +89,9 @@
 
 	EndpointDegraded  = "endpoint fails requests"
 	EndpointRecovered = "endpoint has recovered"
+
+	EndpointSlow        = "endpoint slow"
+	EndpointAtFullSpeed = "endpoint at full speed again"
 )
 
 // HealthEvent is a change in how a balancer rates the health of an endpoint.
@@ -95,7 +100,7 @@
 	Endpoint string        // ID
 	Failures int           // consecutive failures; flows without an answer if dead or probed, failed requests if degraded
 	For      time.Duration // how long the endpoint is suspect, or for EndpointDead and EndpointProbed has been silent
-	Cause    string        // for EndpointProbed, the result of the probe
+	Cause    string        // for EndpointProbed, the result of the probe; for EndpointSlow, its response time
 }
 
 // maxHealthEvents bounds the events that wait to be logged; further ones are dropped.
@@ -180,6 +185,6 @@
 // of other balancers that make the same choice and report later: flows that were recently placed here are counted once
 // more for each of them. Otherwise all balancers together would overload a new endpoint.
 func (f *Forwarder) loadOf(now time.Time, v *endpointState, reporters int) float64 {
-	capacity := float64(max(v.endpoint.Slots, 1)) * f.speedOf(now, v)
+	capacity := float64(max(v.endpoint.Slots, 1)) * f.placementSpeed(now, v)
 	return (float64(v.flows+1) + v.remoteFlows + float64(reporters)*v.recentlyPlaced) / capacity
 }
--- a/core/coordination/steering/flow.go
+++ b/core/coordination/steering/flow.go
@@ -51,6 +51,9 @@
 	sentEnd            uint32    // sequence number after the last data sent; valid if hasSent
 	hasSent            bool
 
+	outstanding  int  // requests of this balancer on the endpoint when the last one was sent, itself included
+	hasUncounted bool // the last request has not been counted for the speed of the endpoint
+
 	isFormer bool // opened before the endpoint restarted; says nothing about its present incarnation
 }
 
@@ -211,6 +214,7 @@
 		}
 		w.unansweredSince, w.sequence = now, p.Sequence
 		v.waitingFlows++
+		w.outstanding, w.hasUncounted = v.waitingFlows, true
 		f.requestProbe(now, v)
 		f.trackRequest(now, p.Flow.Service, w)
 		return
@@ -256,6 +260,10 @@
 	d := now.Sub(w.unansweredSince)
 	f.recorder.ObserveService(metric.FirstByte, w.endpointState.endpoint.Service, d)
 	if u := w.baseline; u != nil {
+		if w.hasUncounted {
+			w.hasUncounted = false
+			f.recordResponse(now, w, d)
+		}
 		u.update(&u.firstByteSeconds, min(d, u.timeout()).Seconds())
 	}
 	w.unansweredSince = time.Time{}
@@ -270,6 +278,7 @@
 	f.resetDeadEndpoints(now)
 	f.evaluateDue(now)
 	f.updateWeights(now)
+	f.updateSpeeds(now)
 	if now.Sub(f.sweptAt) < sweepInterval {
 		return
 	}
--- a/core/coordination/steering/outcome.go
+++ b/core/coordination/steering/outcome.go
@@ -160,7 +160,7 @@
 		f.baselines[address] = u
 	}
 	w.baseline, w.acknowledgedBefore = u, w.acknowledged
-	f.evaluateAt(now.Add(u.timeout()), w)
+	f.evaluateAt(now.Add(f.failureTimeout(u)), w)
 }
 
 // evaluateAt schedules the evaluation of the flow's request or opening packet. The evaluation is skipped if the flow
@@ -198,6 +198,7 @@
 			case w.isOpening:
 				f.openingRefused(now, w)
 			default:
+				f.recordTimeout(now, w)
 				f.evaluate(w, true)
 			}
 		}
--- a/core/coordination/steering/report.go
+++ b/core/coordination/steering/report.go
@@ -45,7 +45,7 @@
 // Report is what a balancer sends to other balancers: its loads, and its evidence against endpoints.
 type Report struct {
 	Sender    member.Incarnation
-	IsPartial bool // contains only Silences; the loads and outcomes of earlier reports stay valid
+	IsPartial bool // contains only Silences and Speeds; the loads and outcomes of earlier reports stay valid
 	Loads     []EndpointLoad
 	Silences  []uint32 // Cookie(ID, 0) of endpoints that refuse flows, or do not answer this balancer while others do
 	Outcomes  []EndpointOutcomes
@@ -67,7 +67,7 @@
 func (f *Forwarder) Report(now time.Time) *Report {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	r := &Report{Silences: f.silences(now), Outcomes: f.outcomesToReport()}
+	r := &Report{Silences: f.silences(now), Outcomes: f.outcomesToReport(), Speeds: f.speedsToReport(now, false, maxReportSpeeds)}
 	for id, v := range f.endpointStates {
 		if v.flows > 0 {
 			r.Loads = append(r.Loads, EndpointLoad{Cookie: directory.Cookie(id, 0), Flows: v.flows})
@@ -129,6 +129,7 @@
 	if from.FailureDomain != f.config.FailureDomain {
 		return // its network paths to the endpoints differ
 	}
+	f.applySpeeds(now, r)
 	for _, cookie := range r.Silences {
 		if v := f.byCookie[cookie]; v != nil {
 			f.applySilence(now, v)
--- a/core/coordination/steering/steering.go
+++ b/core/coordination/steering/steering.go
@@ -117,7 +117,8 @@
 	// interval between reads, and shorter than the time within which a new configuration must take effect. 0 means
 	// DefaultConfirmedFor.
 	ConfirmedFor time.Duration
-	MaxFlows     int // limit of tracked flows; others are forwarded untracked. 0 means DefaultMaxFlows
+	MaxFlows     int  // limit of tracked flows; others are forwarded untracked. 0 means DefaultMaxFlows
+	LearnsSpeed  bool // whether new flows follow the speed of endpoints, see endpointspeed.go
 }
 
 // Forwarder decides on packets.
@@ -145,6 +146,7 @@
 	probes         []Probe         // until Probes returns them
 	probing        int             // number of probes without a result
 	outcomes
+	speeds
 }
 
 // New returns a Forwarder without a snapshot; it drops all packets.
@@ -160,6 +162,7 @@
 		endpointStates: make(map[string]*endpointState), silentStates: make(map[*endpointState]struct{}),
 		flows: make(map[FlowKey]*flow), reports: make(map[member.Incarnation]receivedReport),
 		domains: make(map[string]*domain), services: make(map[string]*service), outcomes: newOutcomes(),
+		speeds: speeds{timed: make(map[*endpointState]bool)},
 	}
 }
 
@@ -189,10 +192,12 @@
 		if !known[id] {
 			delete(f.withEvidence, f.endpointStates[id])
 			delete(f.silentStates, f.endpointStates[id])
+			delete(f.timed, f.endpointStates[id])
 			delete(f.endpointStates, id)
 		}
 	}
 	f.resetHealth(restarted)
+	f.resetSpeeds(now, restarted)
 	f.markReplaced(s.Endpoints())
 	f.indexCookies()
 	clear(f.services)
@@ -264,7 +269,7 @@
 			return Decision{Verdict: Reset, Reason: ReasonNoRoom}
 		}
 		var reason Reason
-		if v, reason = f.choose(now, service, excluded); v == nil {
+		if v, reason = f.chooseBySpeed(now, service, excluded); v == nil {
 			f.forget(p.Flow)
 			return Decision{Verdict: Reset, Reason: reason}
 		}
--- a/core/state/metric/metric.go
+++ b/core/state/metric/metric.go
@@ -57,6 +57,7 @@
 	OpenEndpoints     Gauge = "endpoints_open"                 // endpoints that may get new flows
 	SuspectEndpoints  Gauge = "endpoints_suspect"              // endpoints that are suspect and get no new flows
 	DegradedEndpoints Gauge = "endpoints_degraded"             // endpoints with fewer new flows because they fail requests
+	SlowEndpoints     Gauge = "endpoints_slow"                 // endpoints with fewer new flows because they are slow
 	TrackedFlows      Gauge = "flows_tracked"
 	ReachableMembers  Gauge = "members_reachable" // reachable balancers, this one included
 	IsStoreReader     Gauge = "is_reader"         // 1 while this balancer reads the store for its failure domain
--- a/io/transport/direct/direct.go
+++ b/io/transport/direct/direct.go
@@ -158,7 +158,7 @@
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	p.forwarder = steering.New(steering.Config{
 		FailureDomain: p.settings.FailureDomain, FlowAge: p.settings.FlowAge,
-		ConfirmedFor: p.settings.limits().Configuration,
+		ConfirmedFor: p.settings.limits().Configuration, LearnsSpeed: p.settings.LearnsSpeed,
 	}, p.metrics, random)
 	if err = joinPeers(p); err != nil {
 		return err
@@ -230,6 +230,7 @@
 		p.update(func(now time.Time) { p.forwarder.Tick(now) })
 		p.socket.sendResets()
 		p.startProbes()
+		p.peers.sendSpeeds(p.adapters.Clock.Now())
 		p.peers.countControlBytes()
 		p.logHealthEvents()
 	}
--- a/io/transport/direct/peers.go
+++ b/io/transport/direct/peers.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"golang.org/x/time/rate"
 
 	"cornellb/core/coordination/membership"
 	"cornellb/core/coordination/spread"
@@ -36,6 +37,16 @@
 	// otherDomainFanout is the number of balancers in other failure domains that get each full report. The receivers
 	// extrapolate from those that they get to the whole domain.
 	otherDomainFanout = 2
+	// speedInterval is the time between two reports of fresh speeds. They go to as many balancers of the failure domain as
+	// speedBytes permits in a second, datagram headers included: with more balancers each has fewer samples to report, so
+	// that the part of them that gets a report at once does not depend on their number.
+	speedInterval = 250 * time.Millisecond
+	speedBytes    = 2048
+	speedBurst    = 2 * speedBytes
+	// reportHeaderBytes is the size of a report with no entries, with the headers of a datagram, and speedEntryBytes that
+	// of a speed.
+	reportHeaderBytes = 40
+	speedEntryBytes   = 9
 )
 
 // peers exchanges data with the other balancers.
@@ -49,6 +60,8 @@
 	reachable         int
 	lastCounters      peer.Counters // as last copied into the metrics; used only by the goroutine of tick
 	self              member.Host
+	speedBudget       *rate.Limiter // used only by the goroutine of tick, like speedsSentAt
+	speedsSentAt      time.Time
 	reportNow         chan struct{} // requests a report before the next regular one
 	fetching          chan struct{} // holds a token while a directory is fetched
 }
@@ -57,7 +70,7 @@
 // fail if no other balancer can be reached.
 func joinPeers(p *Process) error {
 	s := p.settings
-	h := &peers{process: p, fetching: make(chan struct{}, 1), reportNow: make(chan struct{}, 1), self: member.Host{
+	h := &peers{process: p, speedBudget: rate.NewLimiter(speedBytes, speedBurst), fetching: make(chan struct{}, 1), reportNow: make(chan struct{}, 1), self: member.Host{
 		ID: s.ID, FailureDomain: s.FailureDomain, Address: s.PeerAddress,
 		Incarnation: member.Incarnation(rand.Uint64() | 1), // 0 means no incarnation
 	}}
@@ -334,7 +347,11 @@
 		}
 		r.Sender = h.self.Incarnation
 		for _, m := range h.reportReceivers(r) {
-			h.transport.SendLoadReport(m.Address, r)
+			sent := *r
+			if m.FailureDomain != h.self.FailureDomain {
+				sent.Speeds = nil // not used there
+			}
+			h.transport.SendLoadReport(m.Address, &sent)
 		}
 		if !p.pause(minReportInterval, nil) {
 			return
@@ -342,6 +359,40 @@
 	}
 }
 
+// sendSpeeds sends fresh speeds of endpoints to random balancers of the failure domain, as far as the budget permits.
+func (h *peers) sendSpeeds(now time.Time) {
+	if h.transport == nil || now.Sub(h.speedsSentAt) < speedInterval || h.speedBudget.TokensAt(now) < reportHeaderBytes+speedEntryBytes {
+		return
+	}
+	h.speedsSentAt = now
+	r := h.process.forwarder.SpeedReport(now)
+	if r == nil {
+		return
+	}
+	r.Sender = h.self.Incarnation
+	size := reportHeaderBytes + speedEntryBytes*len(r.Speeds)
+	for _, m := range sample(h.sameDomain(), int(h.speedBudget.TokensAt(now))/size) {
+		h.speedBudget.AllowN(now, size)
+		h.transport.SendLoadReport(m.Address, r)
+	}
+}
+
+// sameDomain returns the reachable members of this balancer's own failure domain.
+func (h *peers) sameDomain() []member.Host {
+	h.process.mu.Lock()
+	defer h.process.mu.Unlock()
+	if h.view == nil {
+		return nil
+	}
+	var list []member.Host
+	for _, m := range h.view.Hosts {
+		if m.Incarnation != h.self.Incarnation && m.IsReachable() && m.FailureDomain == h.self.FailureDomain {
+			list = append(list, m)
+		}
+	}
+	return list
+}
+
 // reportReceivers returns random members of this balancer's own failure domain, and for a full report some of other
 // domains too.
 func (h *peers) reportReceivers(r *steering.Report) []member.Host {
--- a/io/transport/direct/reload.go
+++ b/io/transport/direct/reload.go
@@ -2,7 +2,7 @@
 
 import "slices"
 
-// Reload applies new settings for peers, apply limit, leave limit and drain limit. Names, addresses, the readiness path and the flow
+// Reload applies new settings for peers, apply limit, leave limit, drain limit and the learning of speeds. Names, addresses, the readiness path and the flow
 // age cannot change while the process runs. A change of them takes effect at the next start and is logged.
 func (p *Process) Reload(s *Settings) {
 	p.mu.Lock()
@@ -26,6 +26,11 @@
 	if old.DrainLimit != s.DrainLimit {
 		changed = append(changed, "drain_limit")
 	}
+	if old.LearnsSpeed != s.LearnsSpeed {
+		changed = append(changed, "learns_speed")
+		applied.LearnsSpeed = s.LearnsSpeed
+		p.forwarder.SetLearnsSpeed(s.LearnsSpeed)
+	}
 	p.settings = &applied
 	limits := applied.limits()
 	p.peers.plan.SetLimits(limits)
