Let the samples of an endpoint cover at least a second, and bound reports by their encoded size

A speed takes up to 12 bytes, not 9; with 16 of them the largest report without rooms has 1,190 of 1,265 bytes.

--- a/core/coordination/speed/speed.go
+++ b/core/coordination/speed/speed.go
@@ -34,6 +34,9 @@
 	// maxSamples is the number of samples, over all balancers, on which an estimate rests: the newest ones. With ten
 	// requests a second it covers little more than a second, so that a change shows before the half-life has passed.
 	maxSamples = 6
+	// minSpan is the time that the newest samples of a balancer cover at least, and minWeight the least weight of a sample.
+	minSpan   = time.Second
+	minWeight = 0.05
 	// minSamples is the number of samples from which an endpoint is judged.
 	minSamples = 2
 	// minCompared is the number of samples from which an endpoint counts for the median of its service. It is lower than
@@ -90,13 +93,24 @@
 	return min(max(maxSamples*share, 1), maxSamples/3)
 }
 
-// Record adds a sample. Older samples lose weight as far as the total would exceed the limit.
+// Record adds a sample. Older samples lose weight as far as the total would exceed the limit. Of many samples in a short
+// time each counts less, so that the limit covers at least minSpan: requests that wait behind the same long one would
+// otherwise make up the whole evidence.
 func (e *Evidence) Record(at time.Time, ratio, limit float64) {
-	e.At = at
+	weight := 1.0
+	if e.Samples > 0 {
+		weight = min(max(limit*at.Sub(e.At).Seconds()/minSpan.Seconds(), minWeight), 1)
+	}
+	e.add(at, ratio, weight, limit)
+}
+
+// RecordWaiting adds a request that waits for its answer, with the time waited so far.
+func (e *Evidence) RecordWaiting(now time.Time, ratio, limit float64) { e.add(now, ratio, 1, limit) }
+
+func (e *Evidence) add(at time.Time, ratio, weight, limit float64) {
 	x := math.Log(min(max(ratio, minRatio), maxRatio))
-	old := min(e.Samples, limit-1)
-	e.Samples = old + 1
-	e.Log += (x - e.Log) / e.Samples
+	e.At, e.Samples = at, min(e.Samples, limit-weight)+weight
+	e.Log += (x - e.Log) * weight / e.Samples
 }
 
 // Decay reduces the weight of first-hand samples by the time that has passed.
--- a/core/coordination/steering/endpointspeed.go
+++ b/core/coordination/steering/endpointspeed.go
@@ -26,9 +26,9 @@
 	speedInterval = 250 * time.Millisecond
 	// forgottenSamples is the weight below which evidence on the speed of an endpoint is discarded.
 	forgottenSamples = 0.1
-	// maxReportSpeeds keeps a report within one datagram, at up to 9 bytes for each speed. maxFreshSpeeds is the same for
+	// maxReportSpeeds keeps a report within one datagram, at up to 12 bytes for each speed. maxFreshSpeeds is the same for
 	// reports of fresh speeds, which are sent more often.
-	maxReportSpeeds = 20
+	maxReportSpeeds = 16
 	maxFreshSpeeds  = 8
 	// neededSamples is the number of samples of other balancers showing a slow endpoint from which this balancer reports its
 	// own, which may show the opposite. Two long requests within some seconds reach it.
@@ -203,7 +203,7 @@
 func (f *Forwarder) firstHand(now time.Time, v *endpointState) speed.Evidence {
 	x, limit := v.speed.own, f.sampleLimit(v)
 	for _, ratio := range v.speed.waiting {
-		x.Record(now, ratio, limit)
+		x.RecordWaiting(now, ratio, limit)
 	}
 	return x
 }
--- a/io/transport/direct/peers.go
+++ b/io/transport/direct/peers.go
@@ -46,7 +46,7 @@
 	// reportHeaderBytes is the size of a report with no entries, with the headers of a datagram, and speedEntryBytes that
 	// of a speed.
 	reportHeaderBytes = 40
-	speedEntryBytes   = 9
+	speedEntryBytes   = 12
 )
 
 // peers exchanges data with the other balancers.
--- a/io/transport/peer/peer_test.go
+++ b/io/transport/peer/peer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"net"
 	"net/netip"
@@ -338,6 +339,29 @@
 
 func (a *announcements) HandleLoadReport(netip.AddrPort, *steering.Report) {}
 
+// TestLargestReportFits guards against a report with all that a balancer may report, apart from rooms, that does not fit into
+// a datagram and is dropped. The numbers of entries are the limits of the package steering.
+func TestLargestReportFits(t *testing.T) {
+	is := is.New(t)
+	r := &steering.Report{Sender: math.MaxUint64}
+	for range 120 {
+		r.Loads = append(r.Loads, steering.EndpointLoad{Cookie: math.MaxUint32, Flows: 1000})
+	}
+	for range 10 {
+		r.Silences = append(r.Silences, math.MaxUint32)
+	}
+	for range 20 {
+		r.Outcomes = append(r.Outcomes, steering.EndpointOutcomes{Cookie: math.MaxUint32, Good: 12, Bad: 12})
+	}
+	for range 16 {
+		r.Speeds = append(r.Speeds, steering.EndpointSpeed{Cookie: math.MaxUint32, Samples: 6, Ratio: 64})
+	}
+	b, err := wire.AppendLoadReport([]byte{typeLoadReport}, r)
+	is.NoErr(err)
+	t.Logf("%d bytes of %d", len(b), maxDatagram)
+	is.True(len(b) <= maxDatagram)
+}
+
 func (a *announcements) HandleDirectory(context.Context, wire.DirectoryQuery) (*wire.DirectoryUpdate, error) {
 	return &wire.DirectoryUpdate{}, nil
 }
