--- a/core/coordination/steering/endpointspeed.go
+++ b/core/coordination/steering/endpointspeed.go
@@ -73,6 +73,8 @@
 type speeds struct {
 	timed     map[*endpointState]bool // endpoints with evidence on their speed
 	updatedAt time.Time
+
+	waitingFlows int // flows with unanswered data, on all endpoints
 }
 
 // speedOf returns the speed of an endpoint, as a part of the usual one of its service.
@@ -167,6 +169,12 @@
 	f.timed[v] = true
 }
 
+// outstanding returns the number of requests on an endpoint: those of this balancer, and of the flows that others have
+// reported the part that waits for an answer among its own.
+func (f *Forwarder) outstanding(v *endpointState) int {
+	return v.waitingFlows + int(v.remoteFlows*float64(f.waitingFlows)/float64(max(len(f.flows), 1)))
+}
+
 // ratio returns the ratio of a response time to the usual one, corrected for the queue.
 func (w *flow) ratio(d time.Duration) float64 {
 	return speed.Correct(d.Seconds()/w.baseline.firstByteSeconds, w.outstanding, w.endpointState.endpoint.Slots)
@@ -291,7 +299,9 @@
 		if ok {
 			v.speed.learned = s
 		}
-		f.logSpeed(v, s, fmt.Sprintf("response time %.1f times that of the median endpoint", totals[i].Ratio(median)))
+		if !v.speed.isSlow && s < slowSpeed || v.speed.isSlow && s > recoveredSpeed {
+			f.logSpeed(v, s, fmt.Sprintf("response time %.1f times that of the median endpoint", totals[i].Ratio(median)))
+		}
 	}
 }
 
--- a/core/coordination/steering/flow.go
+++ b/core/coordination/steering/flow.go
@@ -51,7 +51,7 @@
 	sentEnd            uint32    // sequence number after the last data sent; valid if hasSent
 	hasSent            bool
 
-	outstanding  int  // requests of this balancer on the endpoint when the last one was sent, itself included
+	outstanding  int  // requests on the endpoint when the last one was sent, itself included, as far as known
 	hasUncounted bool // the last request has not been counted for the speed of the endpoint
 
 	isFormer bool // opened before the endpoint restarted; says nothing about its present incarnation
@@ -124,6 +124,7 @@
 	}
 	if !w.unansweredSince.IsZero() {
 		w.endpointState.waitingFlows--
+		f.waitingFlows--
 	}
 	w.endpointState = nil
 }
@@ -214,7 +215,8 @@
 		}
 		w.unansweredSince, w.sequence = now, p.Sequence
 		v.waitingFlows++
-		w.outstanding, w.hasUncounted = v.waitingFlows, true
+		f.waitingFlows++
+		w.outstanding, w.hasUncounted = f.outstanding(v), true
 		f.requestProbe(now, v)
 		f.trackRequest(now, p.Flow.Service, w)
 		return
@@ -268,6 +270,7 @@
 	}
 	w.unansweredSince = time.Time{}
 	w.endpointState.waitingFlows--
+	f.waitingFlows--
 }
 
 // Tick resets the waiting flows of dead endpoints, evaluates requests that are due, updates the weights of endpoints,
