--- a/core/coordination/steering/flow.go
+++ b/core/coordination/steering/flow.go
@@ -51,6 +51,9 @@
 	sentEnd            uint32    // sequence number after the last data sent; valid if hasSent
 	hasSent            bool
 
+	outstanding  int  // requests on the endpoint when the last one was sent, itself included, as far as known
+	hasUncounted bool // the last request has not been counted for the speed of the endpoint
+
 	isFormer bool // opened before the endpoint restarted; says nothing about its present incarnation
 }
 
@@ -124,6 +127,7 @@
 	}
 	if !w.unansweredSince.IsZero() {
 		w.endpointState.waitingFlows--
+		f.waitingFlows--
 	}
 	w.endpointState = nil
 }
@@ -214,6 +218,8 @@
 		}
 		w.unansweredSince, w.sequence = now, p.Sequence
 		v.waitingFlows++
+		f.waitingFlows++
+		w.outstanding, w.hasUncounted = f.outstanding(v), true
 		f.requestProbe(now, v)
 		f.trackRequest(now, p.Flow.Service, w)
 		return
@@ -259,10 +265,15 @@
 	d := now.Sub(w.unansweredSince)
 	f.recorder.ObserveService(metric.FirstByte, w.endpointState.endpoint.Service, d)
 	if u := w.baseline; u != nil {
+		if w.hasUncounted {
+			w.hasUncounted = false
+			f.recordResponse(now, w, d)
+		}
 		u.update(&u.firstByteSeconds, min(d, u.timeout()).Seconds())
 	}
 	w.unansweredSince = time.Time{}
 	w.endpointState.waitingFlows--
+	f.waitingFlows--
 }
 
 // Tick resets the waiting flows of dead endpoints, evaluates requests that are due, updates the weights of endpoints,
@@ -273,6 +284,7 @@
 	f.resetDeadEndpoints(now)
 	f.evaluateDue(now)
 	f.updateWeights(now)
+	f.updateSpeeds(now)
 	if now.Sub(f.sweptAt) < sweepInterval {
 		return
 	}
--- a/io/transport/direct/direct.go
+++ b/io/transport/direct/direct.go
@@ -171,7 +171,7 @@
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	p.forwarder = steering.New(steering.Config{
 		FailureDomain: p.settings.FailureDomain, FlowAge: p.settings.FlowAge,
-		ConfirmedFor: p.settings.limits().Configuration,
+		ConfirmedFor: p.settings.limits().Configuration, LearnsSpeed: p.settings.LearnsSpeed,
 	}, p.metrics, random)
 	if err = joinPeers(p); err != nil {
 		return err
@@ -233,6 +233,7 @@
 		p.socket.sendResets()
 		p.startProbes()
 		p.peers.updateWeight(p.adapters.Clock.Now())
+		p.peers.sendSpeeds(p.adapters.Clock.Now())
 		p.peers.countControlBytes()
 		p.logHealthEvents()
 	}
