Refuse less urgent flows of an overloaded service

Cause: nothing in the direct return mode decides by priority. In an overload, full endpoints that do not answer opening packets become suspect for up to 8 s, so that few endpoints get the new flows and others are idle.

Change: steering counts the requests of each service whose routes differ in priority, reports them to other balancers, and resets new flows with reason no_room as core/coordination/overload decides. Near saturation, placement counts requests instead of flows. While a service is overloaded, an endpoint that has answered lately is suspect for 0.5 s only. Counter flows_refused, gauge services_overloaded, log lines for a service that becomes overloaded and has room again.

Result: the tests of core/coordination, io/transport/direct and docs pass.

--- a/core/coordination/steering/choice.go
+++ b/core/coordination/steering/choice.go
@@ -71,13 +71,17 @@
 		s = f.newService(name)
 		f.services[name] = s
 	}
-	limit := aggregateAge + time.Duration(s.endpoints)*aggregateAgePerEndpoint
-	if s.aggregatedAt.IsZero() || now.Sub(s.aggregatedAt) >= limit {
+	if s.aggregatedAt.IsZero() || now.Sub(s.aggregatedAt) >= s.sumsAge() {
 		f.aggregate(now, s)
 	}
 	return s
 }
 
+// sumsAge returns the age up to which sums over the endpoints of the service are used.
+func (s *service) sumsAge() time.Duration {
+	return aggregateAge + time.Duration(s.endpoints)*aggregateAgePerEndpoint
+}
+
 func (f *Forwarder) newService(name string) *service {
 	s := &service{}
 	groups := make(map[string]*group)
@@ -196,6 +200,7 @@
 	f.suspectUnconfirmed(now, v)
 	reporters := f.domainOf(f.config.FailureDomain).reporters
 	cost := f.loadOf(now, v, reporters) + tieBreakNoise*f.random.Float64()/float64(max(v.endpoint.Slots, 1))
+	cost += f.requestCost(now, v)
 	if v.penalty > 0 {
 		// The load of an endpoint with few flows is a poor basis for the penalty, so at least the mean load is used.
 		cost += max(cost, s.meanLoad) * (1/v.weight() - 1)
--- a/core/coordination/steering/flow.go
+++ b/core/coordination/steering/flow.go
@@ -55,14 +55,20 @@
 }
 
 // fraction hashes a flow to a number in [0, 1).
-func fraction(k FlowKey) float64 {
+func fraction(k FlowKey) float64 { return seededFraction(k, 0) }
+
+// seededFraction hashes a flow like fraction; the results for different seeds are independent of each other.
+func seededFraction(k FlowKey, seed uint64) float64 {
 	var b [36]byte
 	c, s := k.Client.Addr().As16(), k.Service.Addr().As16()
 	copy(b[:16], c[:])
 	copy(b[16:32], s[:])
 	binary.BigEndian.PutUint16(b[32:], k.Client.Port())
 	binary.BigEndian.PutUint16(b[34:], k.Service.Port())
-	return float64(xxhash.Sum64(b[:])>>11) / (1 << 53)
+	var d xxhash.Digest
+	d.ResetWithSeed(seed)
+	_, _ = d.Write(b[:]) // never fails
+	return float64(d.Sum64()>>11) / (1 << 53)
 }
 
 // retransmittedOpening handles a retransmission of an opening packet. It returns the endpoint that the flow stays with.
@@ -152,6 +158,7 @@
 		w.isOpening, w.isFailureCounted, w.request = false, false, 0
 		v.openingFlows--
 		f.recorder.ObserveService(metric.OpenTime, v.endpoint.Service, now.Sub(w.openedAt))
+		f.recordOpenTime(v, now.Sub(w.openedAt))
 		w.acknowledged = p.Acknowledgment
 		f.recordProgress(now, v)
 	case int32(p.Acknowledgment-w.acknowledged) > 0:
@@ -270,6 +277,7 @@
 	f.resetDeadEndpoints(now)
 	f.evaluateDue(now)
 	f.updateWeights(now)
+	f.tickRooms(now)
 	if now.Sub(f.sweptAt) < sweepInterval {
 		return
 	}
@@ -277,6 +285,7 @@
 	f.expireReports(now)
 	for _, v := range f.endpointStates {
 		v.recentlyPlaced /= 2
+		v.abandonedFlows = 0
 	}
 	idle := time.Duration(defaultIdle)
 	if f.snapshot != nil && f.snapshot.Configuration.IdleTimeout > 0 {
@@ -290,6 +299,8 @@
 		if now.Sub(w.lastPacketAt) > limit {
 			f.detach(w)
 			delete(f.flows, k)
+		} else if !w.unansweredSince.IsZero() && now.Sub(w.lastPacketAt) > abandonedTime {
+			w.endpointState.abandonedFlows++
 		}
 	}
 }
--- a/core/coordination/steering/report.go
+++ b/core/coordination/steering/report.go
@@ -59,6 +59,7 @@
 	loads         []EndpointLoad
 	outcomes      []EndpointOutcomes // empty if the sender is in another failure domain
 	failureDomain string
+	rooms         []ServiceRoom
 }
 
 // Report returns the present loads of this balancer, the largest first, limited to maxReportLoads, and its evidence
@@ -67,7 +68,7 @@
 func (f *Forwarder) Report(now time.Time) *Report {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	r := &Report{Silences: f.silences(now), Outcomes: f.outcomesToReport()}
+	r := &Report{Silences: f.silences(now), Outcomes: f.outcomesToReport(), Rooms: f.roomsToReport(now)}
 	for id, v := range f.endpointStates {
 		if v.flows > 0 {
 			r.Loads = append(r.Loads, EndpointLoad{Cookie: directory.Cookie(id, 0), Flows: v.flows})
@@ -76,7 +77,7 @@
 	slices.SortFunc(r.Loads, func(a, b EndpointLoad) int {
 		return cmp.Or(cmp.Compare(b.Flows, a.Flows), cmp.Compare(a.Cookie, b.Cookie))
 	})
-	r.Loads = r.Loads[:min(len(r.Loads), maxReportLoads)]
+	r.Loads = r.Loads[:min(len(r.Loads), maxReportLoads-loadsPerRoom*len(r.Rooms))]
 	return r
 }
 
@@ -92,7 +93,7 @@
 func (f *Forwarder) silences(now time.Time) []uint32 {
 	var silent []*endpointState
 	for v := range f.silentStates {
-		if f.isSilent(now, v) || v.hasRefused(now) {
+		if f.isSilent(now, v) || v.hasRefused(now) && !f.isBusy(now, v) {
 			silent = append(silent, v)
 		}
 	}
@@ -149,7 +150,7 @@
 	d.reporters++
 	d.members = from.Members
 	f.rescale(from.FailureDomain)
-	received := receivedReport{at: now, loads: r.Loads, failureDomain: from.FailureDomain}
+	received := receivedReport{at: now, loads: r.Loads, failureDomain: from.FailureDomain, rooms: r.Rooms}
 	f.addRemoteFlows(received.loads, d.scale)
 	if from.FailureDomain == f.config.FailureDomain {
 		received.outcomes = r.Outcomes
--- a/core/coordination/steering/steering.go
+++ b/core/coordination/steering/steering.go
@@ -139,11 +139,13 @@
 	sweptAt        time.Time
 	configuredAt   time.Time // when the first snapshot with a configuration arrived
 	healthEvents   []HealthEvent
-	recentProgress progressHistory // the latest progress of any endpoint
-	silenceReports uint64          // number of the last report of unresponsive endpoints
-	resets         []Packet        // of flows whose endpoint is dead, until Resets returns them
-	probes         []Probe         // until Probes returns them
-	probing        int             // number of probes without a result
+	recentProgress progressHistory  // the latest progress of any endpoint
+	silenceReports uint64           // number of the last report of unresponsive endpoints
+	resets         []Packet         // of flows whose endpoint is dead, until Resets returns them
+	probes         []Probe          // until Probes returns them
+	probing        int              // number of probes without a result
+	rooms          map[string]*room // of services whose routes differ in priority
+	roomsOf        *directory.Configuration
 	outcomes
 }
 
@@ -196,6 +198,7 @@
 	f.markReplaced(s.Endpoints())
 	f.indexCookies()
 	clear(f.services)
+	f.setRooms()
 }
 
 // Confirm records that the configuration in force was the newest one at the given time.
--- a/core/state/metric/metric.go
+++ b/core/state/metric/metric.go
@@ -31,6 +31,7 @@
 	BadEntry    Counter = "bad_entries"      // subject: store entries that are not usable
 	Held        Counter = "packets_held"     // reason: packets that wait for the configuration or the list of endpoints
 	ResetSent   Counter = "resets_sent"      // reason: flows that the balancer reset in the direct return mode
+	NoRoom      Counter = "flows_refused"    // priority: new flows reset because their service is overloaded
 	Probed      Counter = "endpoint_probes"  // result: probes of silent endpoints in the direct return mode
 )
 
@@ -58,7 +59,8 @@
 	SuspectEndpoints  Gauge = "endpoints_suspect"              // endpoints that are suspect and get no new flows
 	DegradedEndpoints Gauge = "endpoints_degraded"             // endpoints with fewer new flows because they fail requests
 	TrackedFlows      Gauge = "flows_tracked"
-	ReachableMembers  Gauge = "members_reachable" // reachable balancers, this one included
-	IsStoreReader     Gauge = "is_reader"         // 1 while this balancer reads the store for its failure domain
-	LogLinesDropped   Gauge = "log_lines_dropped" // log lines dropped since the start because the output was too slow
+	OverloadedCount   Gauge = "services_overloaded" // services that refuse new flows, or have done so a moment ago
+	ReachableMembers  Gauge = "members_reachable"   // reachable balancers, this one included
+	IsStoreReader     Gauge = "is_reader"           // 1 while this balancer reads the store for its failure domain
+	LogLinesDropped   Gauge = "log_lines_dropped"   // log lines dropped since the start because the output was too slow
 )
--- a/io/transport/direct/log.go
+++ b/io/transport/direct/log.go
@@ -141,6 +141,10 @@
 			default:
 			}
 		}
+		if e.Service != "" {
+			p.log.Info(e.Event, "service", e.Service, "cause", e.Cause)
+			continue
+		}
 		p.log.Info(e.Event, "id", e.Endpoint, "failures", e.Failures, "for_ms", e.For.Milliseconds(), "cause", e.Cause)
 	}
 }
