--- a/io/transport/direct/gauges.go
+++ b/io/transport/direct/gauges.go
@@ -24,6 +24,7 @@
 		metric.SuspectEndpoints:  func(now time.Time) int64 { return int64(p.forwarder.SuspectEndpoints(now)) },
 		metric.DegradedEndpoints: func(time.Time) int64 { return int64(p.forwarder.DegradedEndpoints()) },
 		metric.SlowEndpoints:     func(time.Time) int64 { return int64(p.forwarder.SlowEndpoints()) },
+		metric.OverloadedCount:   func(time.Time) int64 { return int64(p.forwarder.OverloadedServices()) },
 		metric.TrackedFlows:      func(time.Time) int64 { return int64(p.forwarder.TrackedFlows()) },
 		metric.ReachableMembers:  func(time.Time) int64 { return int64(p.peers.reachable) },
 		metric.IsStoreReader: func(time.Time) int64 {
