Limit the flows on cold endpoints

Cause: an endpoint that has just started handles few requests per second, and each balancer placed flows on it as on any other, at 0.6 of the usual capacity.

Change: mayOpen allows a flow on a cold endpoint only to its owner and within its share; a retransmitted opening packet that stays is no new flow. Cold endpoints that may get no flow do not count in the load of their domain. If the preferred domains have only such endpoints, all others are tried before the flow is refused. The process passes settings and members on, and exports endpoints_cold and cold_flows.

--- a/core/coordination/steering/choice.go
+++ b/core/coordination/steering/choice.go
@@ -61,8 +61,14 @@
 	eligible  int // endpoints that are not suspect
 }
 
-// mean returns the load per unit of weight, so that endpoints with a reduced weight count as less capacity.
-func (g *group) mean() float64 { return g.loadSum / g.weightSum }
+// mean returns the load per unit of weight, so that endpoints with a reduced weight count as less capacity. It is infinite
+// if no endpoint may get a flow.
+func (g *group) mean() float64 {
+	if g.weightSum == 0 {
+		return math.Inf(1)
+	}
+	return g.loadSum / g.weightSum
+}
 
 // serviceNamed returns the endpoints of a service, with sums that are recent enough.
 func (f *Forwarder) serviceNamed(now time.Time, name string) *service {
@@ -107,10 +113,12 @@
 		g.loadSum, g.weightSum, g.eligible = 0, 0, 0
 		for _, v := range g.endpoints {
 			f.suspectUnconfirmed(now, v)
-			g.loadSum += f.loadOf(now, v, 0)
-			g.weightSum += v.weight()
-			if v.isEligible(now) && f.mayOpen(now, v) {
-				g.eligible++
+			if f.mayOpen(now, v) { // a cold endpoint without flows would hide the load of the others
+				g.loadSum += f.loadOf(now, v, 0)
+				g.weightSum += v.weight()
+				if v.isEligible(now) {
+					g.eligible++
+				}
 			}
 			if len(f.withEvidence) > 0 {
 				s.meanLoad += f.loadOf(now, v, reporters) / float64(s.endpoints)
@@ -143,7 +151,7 @@
 		}
 	}
 	if best != nil && math.IsInf(lowest, 1) {
-		return nil, ReasonColdLimit
+		return f.chooseAnywhere(now, s, excluded)
 	}
 	return best, reason
 }
@@ -190,7 +198,7 @@
 // cost returns the cost of placing a new flow on an endpoint: the load that it would have, increased if it is suspect or
 // fails requests.
 func (f *Forwarder) cost(now time.Time, s *service, v, excluded *endpointState) float64 {
-	if !f.mayOpen(now, v) {
+	if v != excluded && !f.mayOpen(now, v) { // a flow that stays where it is is not a new one
 		return math.Inf(1)
 	}
 	f.suspectUnconfirmed(now, v)
--- a/core/coordination/steering/endpoint.go
+++ b/core/coordination/steering/endpoint.go
@@ -42,6 +42,9 @@
 	evidence   evidence // sum of both at the last update of the weights
 	penalty    float64  // 1 - weight: the part of its share of new flows that the endpoint does not get
 	isDegraded bool     // state that was last logged
+
+	seenAt time.Time  // when this balancer first saw the incarnation
+	cold   *coldState // nil if the flows on the endpoint are not limited
 }
 
 // resetHealth discards what was observed and reported of the former incarnations of endpoints that have restarted.
--- a/core/coordination/steering/flow.go
+++ b/core/coordination/steering/flow.go
@@ -267,6 +267,7 @@
 func (f *Forwarder) Tick(now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.warmups.ownership.Tick(now)
 	f.resetDeadEndpoints(now)
 	f.evaluateDue(now)
 	f.updateWeights(now)
--- a/core/coordination/steering/steering.go
+++ b/core/coordination/steering/steering.go
@@ -38,6 +38,7 @@
 	"sync"
 	"time"
 
+	"cornellb/core/coordination/warmup"
 	"cornellb/core/state/directory"
 	"cornellb/core/state/member"
 	"cornellb/core/state/metric"
@@ -145,6 +146,7 @@
 	probes         []Probe         // until Probes returns them
 	probing        int             // number of probes without a result
 	outcomes
+	warmups warmups
 }
 
 // New returns a Forwarder without a snapshot; it drops all packets.
@@ -160,6 +162,7 @@
 		endpointStates: make(map[string]*endpointState), silentStates: make(map[*endpointState]struct{}),
 		flows: make(map[FlowKey]*flow), reports: make(map[member.Incarnation]receivedReport),
 		domains: make(map[string]*domain), services: make(map[string]*service), outcomes: newOutcomes(),
+		warmups: warmups{ownership: warmup.New(c.FailureDomain)},
 	}
 }
 
@@ -177,10 +180,11 @@
 		known[e.ID] = true
 		v := f.endpointStates[e.ID]
 		if v == nil {
-			v = &endpointState{}
+			v = &endpointState{seenAt: now}
 			f.endpointStates[e.ID] = v
 		} else if v.endpoint.StartedAt != e.StartedAt {
 			restarted[v] = true
+			v.seenAt, v.cold = now, nil
 		}
 		v.endpoint = e
 		v.cookie, v.hasCookie = s.CookieOf(e)
@@ -195,6 +199,7 @@
 	f.resetHealth(restarted)
 	f.markReplaced(s.Endpoints())
 	f.indexCookies()
+	f.updateCold(now)
 	clear(f.services)
 }
 
@@ -268,7 +273,9 @@
 			f.forget(p.Flow)
 			return Decision{Verdict: Reset, Reason: reason}
 		}
-		f.recordOpened(now, v)
+		if v != excluded {
+			f.recordOpened(now, v)
+		}
 	}
 	f.trackOpening(now, p, v)
 	d := Decision{Verdict: Forward, Endpoint: v.endpoint, Cookie: v.cookie, Load: v.flowsPerSlot()}
--- a/core/state/metric/metric.go
+++ b/core/state/metric/metric.go
@@ -32,6 +32,7 @@
 	Held        Counter = "packets_held"     // reason: packets that wait for the configuration or the list of endpoints
 	ResetSent   Counter = "resets_sent"      // reason: flows that the balancer reset in the direct return mode
 	Probed      Counter = "endpoint_probes"  // result: probes of silent endpoints in the direct return mode
+	ColdFlows   Counter = "cold_flows"       // outcome (opened, refused): flows on cold endpoints whose flows are limited
 )
 
 // Histogram is the name of a duration histogram, recorded per customer and class, or per service in the direct return
@@ -57,6 +58,7 @@
 	OpenEndpoints     Gauge = "endpoints_open"                 // endpoints that may get new flows
 	SuspectEndpoints  Gauge = "endpoints_suspect"              // endpoints that are suspect and get no new flows
 	DegradedEndpoints Gauge = "endpoints_degraded"             // endpoints with fewer new flows because they fail requests
+	ColdEndpoints     Gauge = "endpoints_cold"                 // endpoints that are cold and whose flows are limited
 	TrackedFlows      Gauge = "flows_tracked"
 	ReachableMembers  Gauge = "members_reachable" // reachable balancers, this one included
 	IsStoreReader     Gauge = "is_reader"         // 1 while this balancer reads the store for its failure domain
--- a/io/transport/direct/direct.go
+++ b/io/transport/direct/direct.go
@@ -160,6 +160,7 @@
 		FailureDomain: p.settings.FailureDomain, FlowAge: p.settings.FlowAge,
 		ConfirmedFor: p.settings.limits().Configuration,
 	}, p.metrics, random)
+	p.forwarder.SetColdLimit(p.adapters.Clock.Now(), p.settings.coldLimit())
 	if err = joinPeers(p); err != nil {
 		return err
 	}
--- a/io/transport/direct/gauges.go
+++ b/io/transport/direct/gauges.go
@@ -21,6 +21,7 @@
 		metric.OpenEndpoints:     func(time.Time) int64 { return int64(p.state.OpenEndpoints()) },
 		metric.SuspectEndpoints:  func(now time.Time) int64 { return int64(p.forwarder.SuspectEndpoints(now)) },
 		metric.DegradedEndpoints: func(time.Time) int64 { return int64(p.forwarder.DegradedEndpoints()) },
+		metric.ColdEndpoints:     func(now time.Time) int64 { return int64(p.forwarder.ColdEndpoints(now)) },
 		metric.TrackedFlows:      func(time.Time) int64 { return int64(p.forwarder.TrackedFlows()) },
 		metric.ReachableMembers:  func(time.Time) int64 { return int64(p.peers.reachable) },
 		metric.IsStoreReader: func(time.Time) int64 {
--- a/io/transport/direct/peers.go
+++ b/io/transport/direct/peers.go
@@ -105,6 +105,7 @@
 	p.mu.Lock()
 	wasReader := h.plan.IsReader()
 	h.plan.SetView(v)
+	p.forwarder.SetMembers(p.adapters.Clock.Now(), v)
 	h.view, h.reachable, h.reachableByDomain = v, 0, make(map[string]int)
 	for _, m := range v.Hosts {
 		if m.IsReachable() {
--- a/io/transport/direct/reload.go
+++ b/io/transport/direct/reload.go
@@ -1,15 +1,28 @@
 package direct
 
-import "slices"
+import (
+	"net/netip"
+	"slices"
 
-// Reload applies new settings for peers, apply limit, leave limit and drain limit. Names, addresses, the readiness path and the flow
-// age cannot change while the process runs. A change of them takes effect at the next start and is logged.
+	"cornellb/core/coordination/steering"
+)
+
+// coldLimit returns the limit of flows on cold endpoints. The list of peers may contain this balancer itself.
+func (s *Settings) coldLimit() steering.ColdLimit {
+	isOther := func(a netip.AddrPort) bool { return a != s.PeerAddress }
+	return steering.ColdLimit{Overshoot: s.ColdOvershoot, Slack: s.ColdSlack, HasPeers: slices.ContainsFunc(s.Peers, isOther)}
+}
+
+// Reload applies new settings for peers, cold endpoints, apply limit, leave limit and drain limit. Names, addresses, the
+// readiness path and the flow age cannot change while the process runs. A change of them takes effect at the next start
+// and is logged.
 func (p *Process) Reload(s *Settings) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	old := p.settings
 	applied := *old
 	applied.Peers, applied.ApplyLimit, applied.LeaveLimit, applied.DrainLimit = s.Peers, s.ApplyLimit, s.LeaveLimit, s.DrainLimit
+	applied.ColdOvershoot, applied.ColdSlack = s.ColdOvershoot, s.ColdSlack
 	var changed []string
 	if !slices.Equal(old.Peers, s.Peers) {
 		changed = append(changed, "peers")
@@ -26,7 +39,11 @@
 	if old.DrainLimit != s.DrainLimit {
 		changed = append(changed, "drain_limit")
 	}
+	if old.ColdOvershoot != s.ColdOvershoot || old.ColdSlack != s.ColdSlack {
+		changed = append(changed, "cold_limit")
+	}
 	p.settings = &applied
+	p.forwarder.SetColdLimit(p.adapters.Clock.Now(), applied.coldLimit())
 	limits := applied.limits()
 	p.peers.plan.SetLimits(limits)
 	p.forwarder.SetConfirmedFor(limits.Configuration)
