Keep a balancer that lost all others from owning all cold endpoints

Cause: a process whose settings name no others counted as alone right after it had lost them, since the time was taken from the last view with others and not from its end.

Change: the time at which the view ceased to hold others counts. The pointer that mayOpen reads is next to the fields that the choice reads anyway.

--- a/core/coordination/steering/endpoint.go
+++ b/core/coordination/steering/endpoint.go
@@ -18,6 +18,7 @@
 // endpointState is the state that this balancer keeps for one endpoint.
 type endpointState struct {
 	endpoint       *directory.Endpoint
+	cold           *coldState // nil if the flows on the endpoint are not limited
 	cookie         uint32
 	hasCookie      bool    // false if each cookie of the endpoint is also a cookie of another endpoint
 	flows          int     // tracked here, including those that are opening
@@ -43,8 +44,7 @@
 	penalty    float64  // 1 - weight: the part of its share of new flows that the endpoint does not get
 	isDegraded bool     // state that was last logged
 
-	seenAt time.Time  // when this balancer first saw the incarnation
-	cold   *coldState // nil if the flows on the endpoint are not limited
+	seenAt time.Time // when this balancer first saw the incarnation
 }
 
 // resetHealth discards what was observed and reported of the former incarnations of endpoints that have restarted.
--- a/core/coordination/warmup/warmup.go
+++ b/core/coordination/warmup/warmup.go
@@ -70,12 +70,13 @@
 	alive         int    // members of the failure domain that are alive, this one included
 	members       int    // members of the failure domain that are alive or suspect, this one included
 	pastMembers   []pastCount
-	othersAlive   int // balancers that are alive in all failure domains, without this one
+	others        int // balancers in all failure domains that are alive or suspect, without this one
+	othersAlive   int // those that are alive
 
 	startedAt   time.Time // of the first call
 	observedAt  time.Time // of the last call
 	contactAt   time.Time // of the last message from the failure domain
-	othersAt    time.Time // when the view last held another balancer
+	othersAt    time.Time // until when a former view held another balancer; zero if none did
 	steadySince time.Time // since when the conditions that do not depend on the endpoint hold; zero if they do not
 }
 
@@ -124,15 +125,19 @@
 }
 
 func (o *Ownership) countMembers(now time.Time, v *member.View) {
-	alive, members, others := 1, 1, 0
+	if o.others > 0 {
+		o.othersAt = now
+	}
+	o.others, o.othersAlive = 0, 0
+	alive, members := 1, 1
 	for _, h := range v.Hosts {
 		if h.Incarnation == o.self.Incarnation || !h.CanOwn() {
 			continue
 		}
-		o.othersAt = now
+		o.others++
 		isAlive := h.State == member.StateAlive
 		if isAlive {
-			others++
+			o.othersAlive++
 		}
 		if h.FailureDomain != o.failureDomain {
 			continue
@@ -145,7 +150,7 @@
 	if o.members > members {
 		o.recordPast(now, o.members)
 	}
-	o.alive, o.members, o.othersAlive = alive, members, others
+	o.alive, o.members = alive, members
 }
 
 // recordPast records that there were more members until now. Lower former numbers no longer matter.
@@ -238,7 +243,7 @@
 
 // isAlone reports whether this is the only balancer of its deployment.
 func (o *Ownership) isAlone(now time.Time) bool {
-	return !o.hasPeers && (o.othersAt.IsZero() || o.othersAlive == 0 && now.Sub(o.othersAt) > memberWindow)
+	return !o.hasPeers && o.others == 0 && (o.othersAt.IsZero() || now.Sub(o.othersAt) > memberWindow)
 }
 
 // hasMajority reports whether this balancer reaches more than half of the members of its failure domain, and at least
