--- a/io/transport/direct/direct_test.go
+++ b/io/transport/direct/direct_test.go
@@ -281,6 +281,28 @@
 	is.Equal(out.count("second reason"), out.count("first reason")) // once each, and further entries are only counted
 }
 
+// TestColdLimitIsReloaded guards against settings of cold endpoints that reach the decisions only at the next start.
+func TestColdLimitIsReloaded(t *testing.T) {
+	s := newIdleStore()
+	s.configuration = func() (*directory.Configuration, []direct.Fault, error) {
+		return &directory.Configuration{Version: 7, Services: []directory.Service{{Name: "feed", HasColdRate: true}}}, nil, nil
+	}
+	s.endpoints = func(context.Context) ([]directory.Endpoint, uint64, []direct.Fault, error) {
+		return []directory.Endpoint{{
+			ID: "i-1", Number: 1, Service: "feed", FailureDomain: "attiki-1", Slots: 2, WarmAt: time.Now().Add(time.Hour),
+		}}, 3, nil, nil
+	}
+	p, out := start(t, s)
+	eventually(t, "ready", p.IsReady)
+	settings := testSettings()
+	for cold, slack := range []float64{0, 5} {
+		settings.ColdSlack = slack
+		p.Reload(settings)
+		eventually(t, "limit in force", func() bool { return p.ColdEndpoints() == cold })
+	}
+	is.New(t).Equal(out.count("changed=[cold_limit]"), 1)
+}
+
 // TestReloadNamesRestart guards against a changed setting that is neither applied nor logged.
 func TestReloadNamesRestart(t *testing.T) {
 	tests := map[string]struct {
--- a/io/transport/direct/export_test.go
+++ b/io/transport/direct/export_test.go
@@ -13,6 +13,9 @@
 	return p.peers.plan.Ages(p.adapters.Clock.Now())
 }
 
+// ColdEndpoints returns the value of the gauge of cold endpoints.
+func (p *Process) ColdEndpoints() int { return p.forwarder.ColdEndpoints(p.adapters.Clock.Now()) }
+
 // ProbeEndpoint carries out one probe.
 var ProbeEndpoint = probe
 
