Count a lone balancer of a failure domain without messages as cut off

Cause: a balancer that knows no other one of its failure domain, and is cut off from all, needs up to minutes to find that it reaches none. A trial of the random run with cuts of 40 to 85 s found three owners: one in each half, and such a one.

Change: it needs a message from any balancer in the last 3 s.

--- a/core/coordination/steering/report.go
+++ b/core/coordination/steering/report.go
@@ -123,13 +123,13 @@
 	if f.snapshot == nil {
 		return
 	}
+	f.warmups.ownership.RecordContact(now, from.FailureDomain)
 	if !r.IsPartial {
 		f.applyLoads(now, r, from)
 	}
 	if from.FailureDomain != f.config.FailureDomain {
 		return // its network paths to the endpoints differ
 	}
-	f.warmups.ownership.RecordContact(now)
 	for _, cookie := range r.Silences {
 		if v := f.byCookie[cookie]; v != nil {
 			f.applySilence(now, v)
--- a/core/coordination/warmup/random_test.go
+++ b/core/coordination/warmup/random_test.go
@@ -233,14 +233,13 @@
 	return hasChanged
 }
 
-// reachesOwnDomain reports whether a balancer is in contact with a member of the failure domain that it knows.
-func (s *site) reachesOwnDomain(b *balancer) bool {
-	for j := range s.members {
+// contact delivers the messages of the balancers that a balancer knows and is in contact with.
+func (s *site) contact(b *balancer, now time.Time) {
+	for j := range b.known {
 		if k := &b.known[j]; k.inContact && k.isKnown {
-			return true
+			b.ownership.RecordContact(now, k.host.FailureDomain)
 		}
 	}
-	return false
 }
 
 // act makes a balancer take note of what it has learned, and open all flows that it may.
@@ -248,8 +247,8 @@
 	now := s.now.Add(b.offset)
 	hasChanged := s.update(b, index)
 	b.ownership.Tick(now)
-	if (stepNumber+index)%10 == 0 && s.reachesOwnDomain(b) {
-		b.ownership.RecordContact(now)
+	if (stepNumber+index)%10 == 0 {
+		s.contact(b, now)
 	}
 	if hasChanged {
 		v := &member.View{Self: b.host, Hosts: append(make([]member.Host, 0, len(b.known)), b.host)}
--- a/core/coordination/warmup/warmup.go
+++ b/core/coordination/warmup/warmup.go
@@ -13,8 +13,8 @@
 //	o := warmup.New(failureDomain)
 //	o.SetPeers(true)
 //	o.SetView(now, view)
-//	o.RecordContact(now) // for each message from a balancer of the failure domain
-//	o.Tick(now)          // about every 100 ms
+//	o.RecordContact(now, sender.FailureDomain) // for each message from another balancer
+//	o.Tick(now)                                // about every 100 ms
 //	claim := warmup.NewClaim(endpoint.ID, endpoint.FailureDomain)
 //	if o.Owns(now, &claim) && limiter.Allows(now, warmup.Share(rate, overshoot, slack)) {
 //		limiter.Record(now)
@@ -42,8 +42,9 @@
 	// startTime is the time after the start of a process during which it learns the members page by page. Each new member
 	// of the failure domain then starts the wait anew.
 	startTime = 30 * time.Second
-	// contactLimit is the time without a message from the failure domain after which a balancer counts as cut off. Reports
-	// arrive every second. It is shorter than the time in which the others declare this balancer dead.
+	// contactLimit is the time without a message after which a balancer counts as cut off. Reports arrive every second. It
+	// is shorter than the time in which the others declare this balancer dead, while a lone balancer of many takes minutes
+	// to find that it reaches none of them.
 	contactLimit = 3 * time.Second
 	// pauseLimit is the time without a call after which the process counts as having been paused, so that its view may be
 	// old. Ticks are 100 ms apart.
@@ -55,8 +56,8 @@
 //
 //   - It ranks first among the members of the endpoint's failure domain that are alive or suspect.
 //   - More than half of the largest number of members of its failure domain in the last memberWindow are alive.
-//   - It reaches another balancer, and has had a message from its failure domain in the last contactLimit if others
-//     there are alive.
+//   - It reaches another balancer, and has had a message of one in the last contactLimit: from its own failure domain if
+//     others there are alive.
 //   - The process was not paused.
 //
 // A process whose settings name no other balancer, and that has seen none for memberWindow, owns all endpoints.
@@ -76,6 +77,7 @@
 	startedAt   time.Time // of the first call
 	observedAt  time.Time // of the last call
 	contactAt   time.Time // of the last message from the failure domain
+	messageAt   time.Time // of the last message from any balancer
 	othersAt    time.Time // until when a former view held another balancer; zero if none did
 	steadySince time.Time // since when the conditions that do not depend on the endpoint hold; zero if they do not
 }
@@ -214,10 +216,13 @@
 	o.rivals = kept
 }
 
-// RecordContact records a message from another balancer of the failure domain.
-func (o *Ownership) RecordContact(now time.Time) {
+// RecordContact records a message from another balancer.
+func (o *Ownership) RecordContact(now time.Time, failureDomain string) {
 	o.Tick(now) // before, as a gap since the last message starts the wait anew
-	o.contactAt = now
+	o.messageAt = now
+	if failureDomain == o.failureDomain {
+		o.contactAt = now
+	}
 	o.Tick(now)
 }
 
@@ -252,7 +257,11 @@
 	if o.othersAlive == 0 || !o.self.CanOwn() || 2*o.alive <= o.largest(now) {
 		return false
 	}
-	return o.alive == 1 || !o.contactAt.IsZero() && now.Sub(o.contactAt) <= contactLimit
+	at := o.contactAt
+	if o.alive == 1 {
+		at = o.messageAt
+	}
+	return !at.IsZero() && now.Sub(at) <= contactLimit
 }
 
 // largest returns the largest number of members of the failure domain in the last memberWindow.
--- a/core/coordination/warmup/warmup_test.go
+++ b/core/coordination/warmup/warmup_test.go
@@ -22,7 +22,7 @@
 		o.now = o.now.Add(step)
 		o.Tick(o.now)
 		if !o.isDeaf {
-			o.RecordContact(o.now)
+			o.RecordContact(o.now, "attiki-1")
 		}
 	}
 }
@@ -66,7 +66,8 @@
 		"half of it has been gone for long": {
 			do: func(o *owner) { o.see(4, 0, 1); o.run(long); o.see(2, 0, 1); o.run(long) }, own: true,
 		},
-		"no messages": {do: func(o *owner) { o.see(4, 0, 1); o.run(long); o.isDeaf = true; o.run(4 * time.Second) }},
+		"no messages":                         {do: func(o *owner) { o.see(4, 0, 1); o.run(long); o.isDeaf = true; o.run(4 * time.Second) }},
+		"only one of its domain, no messages": {do: func(o *owner) { o.isDeaf = true; o.see(1, 0, 1); o.run(long) }},
 		"paused": {do: func(o *owner) {
 			o.see(3, 0, 1)
 			o.run(long)
