Check the conditions of an owner once for each flow

Cause: with all 4,800 endpoints of a service cold, a refused flow took 0.75 to 0.92 ms in a trial, since each candidate had the conditions checked again for the same time.

--- a/core/coordination/warmup/warmup.go
+++ b/core/coordination/warmup/warmup.go
@@ -290,7 +290,9 @@
 
 // Owns reports whether this balancer may open flows on a cold endpoint.
 func (o *Ownership) Owns(now time.Time, c *Claim) bool {
-	o.Tick(now)
+	if now != o.observedAt { // the candidates for one flow are asked for at the same time
+		o.Tick(now)
+	}
 	if o.steadySince.IsZero() || now.Sub(o.steadySince) <= waitTime {
 		return false
 	}
