--- a/core/coordination/steering/choice.go
+++ b/core/coordination/steering/choice.go
@@ -63,8 +63,14 @@
 	capacity float64 // slots of the endpoints, reduced by their speeds and weights
 }
 
-// mean returns the load per unit of weight, so that endpoints with a reduced weight count as less capacity.
-func (g *group) mean() float64 { return g.loadSum / g.weightSum }
+// mean returns the load per unit of weight, so that endpoints with a reduced weight count as less capacity. It is infinite
+// if no endpoint may get a flow.
+func (g *group) mean() float64 {
+	if g.weightSum == 0 {
+		return math.Inf(1)
+	}
+	return g.loadSum / g.weightSum
+}
 
 // serviceNamed returns the endpoints of a service, with sums that are recent enough.
 func (f *Forwarder) serviceNamed(now time.Time, name string) *service {
@@ -113,11 +119,13 @@
 		g.loadSum, g.weightSum, g.capacity, g.eligible = 0, 0, 0, 0
 		for _, v := range g.endpoints {
 			f.suspectUnconfirmed(now, v)
-			g.loadSum += f.loadOf(now, v, 0)
-			g.weightSum += v.weight()
-			g.capacity += v.weight() * f.speedOf(now, v) * float64(max(v.endpoint.Slots, 1))
-			if v.isEligible(now) && f.mayOpen(now, v) {
-				g.eligible++
+			if f.mayOpen(now, v) { // a cold endpoint without flows would hide the load of the others
+				g.loadSum += f.loadOf(now, v, 0)
+				g.weightSum += v.weight()
+				g.capacity += v.weight() * f.speedOf(now, v) * float64(max(v.endpoint.Slots, 1))
+				if v.isEligible(now) {
+					g.eligible++
+				}
 			}
 			if len(f.withEvidence) > 0 {
 				s.meanLoad += f.loadOf(now, v, reporters) / float64(s.endpoints)
@@ -152,7 +160,7 @@
 		}
 	}
 	if best != nil && math.IsInf(lowest, 1) {
-		return nil, ReasonColdLimit
+		return f.chooseAnywhere(now, s, excluded)
 	}
 	return best, reason
 }
@@ -199,7 +207,7 @@
 // cost returns the cost of placing a new flow on an endpoint: the load that it would have, increased if it is suspect or
 // fails requests.
 func (f *Forwarder) cost(now time.Time, s *service, v, excluded *endpointState) float64 {
-	if !f.mayOpen(now, v) {
+	if v != excluded && !f.mayOpen(now, v) { // a flow that stays where it is is not a new one
 		return math.Inf(1)
 	}
 	f.suspectUnconfirmed(now, v)
--- a/core/coordination/steering/report.go
+++ b/core/coordination/steering/report.go
@@ -127,6 +127,7 @@
 	if f.snapshot == nil {
 		return
 	}
+	f.warmups.ownership.RecordContact(now, from.FailureDomain)
 	if !r.IsPartial {
 		f.applyLoads(now, r, from)
 	}
--- a/core/coordination/steering/steering.go
+++ b/core/coordination/steering/steering.go
@@ -38,6 +38,7 @@
 	"sync"
 	"time"
 
+	"cornellb/core/coordination/warmup"
 	"cornellb/core/state/directory"
 	"cornellb/core/state/member"
 	"cornellb/core/state/metric"
@@ -149,6 +150,7 @@
 	roomsOf        *directory.Configuration
 	outcomes
 	speeds
+	warmups warmups
 }
 
 // New returns a Forwarder without a snapshot; it drops all packets.
@@ -164,7 +166,8 @@
 		endpointStates: make(map[string]*endpointState), silentStates: make(map[*endpointState]struct{}),
 		flows: make(map[FlowKey]*flow), reports: make(map[member.Incarnation]receivedReport),
 		domains: make(map[string]*domain), services: make(map[string]*service), outcomes: newOutcomes(),
-		speeds: speeds{timed: make(map[*endpointState]bool)},
+		speeds:  speeds{timed: make(map[*endpointState]bool)},
+		warmups: warmups{ownership: warmup.New(c.FailureDomain)},
 	}
 }
 
@@ -182,10 +185,11 @@
 		known[e.ID] = true
 		v := f.endpointStates[e.ID]
 		if v == nil {
-			v = &endpointState{}
+			v = &endpointState{seenAt: now}
 			f.endpointStates[e.ID] = v
 		} else if v.endpoint.StartedAt != e.StartedAt {
 			restarted[v] = true
+			v.seenAt, v.cold = now, nil
 		}
 		v.endpoint = e
 		v.cookie, v.hasCookie = s.CookieOf(e)
@@ -202,6 +206,7 @@
 	f.resetSpeeds(now, restarted)
 	f.markReplaced(s.Endpoints())
 	f.indexCookies()
+	f.updateCold(now)
 	clear(f.services)
 	f.setRooms()
 }
@@ -276,7 +281,9 @@
 			f.forget(p.Flow)
 			return Decision{Verdict: Reset, Reason: reason}
 		}
-		f.recordOpened(now, v)
+		if v != excluded {
+			f.recordOpened(now, v)
+		}
 	}
 	f.trackOpening(now, p, v)
 	d := Decision{Verdict: Forward, Endpoint: v.endpoint, Cookie: v.cookie, Load: v.flowsPerSlot()}
--- a/core/state/metric/metric.go
+++ b/core/state/metric/metric.go
@@ -33,6 +33,7 @@
 	ResetSent   Counter = "resets_sent"      // reason: flows that the balancer reset in the direct return mode
 	NoRoom      Counter = "flows_refused"    // priority: new flows reset because their service is overloaded
 	Probed      Counter = "endpoint_probes"  // result: probes of silent endpoints in the direct return mode
+	ColdFlows   Counter = "cold_flows"       // outcome (opened, refused): flows on cold endpoints whose flows are limited
 )
 
 // Histogram is the name of a duration histogram, recorded per customer and class, or per service in the direct return
@@ -62,6 +63,7 @@
 	SuspectEndpoints  Gauge = "endpoints_suspect"              // endpoints that are suspect and get no new flows
 	DegradedEndpoints Gauge = "endpoints_degraded"             // endpoints with fewer new flows because they fail requests
 	SlowEndpoints     Gauge = "endpoints_slow"                 // endpoints with fewer new flows because they are slow
+	ColdEndpoints     Gauge = "endpoints_cold"                 // endpoints that are cold and whose flows are limited
 	TrackedFlows      Gauge = "flows_tracked"
 	OverloadedCount   Gauge = "services_overloaded" // services that refuse new flows, or have done so a moment ago
 	ReachableMembers  Gauge = "members_reachable"   // reachable balancers, this one included
--- a/io/transport/direct/direct.go
+++ b/io/transport/direct/direct.go
@@ -173,6 +173,7 @@
 		FailureDomain: p.settings.FailureDomain, FlowAge: p.settings.FlowAge,
 		ConfirmedFor: p.settings.limits().Configuration, LearnsSpeed: p.settings.LearnsSpeed,
 	}, p.metrics, random)
+	p.forwarder.SetColdLimit(p.adapters.Clock.Now(), p.settings.coldLimit())
 	if err = joinPeers(p); err != nil {
 		return err
 	}
--- a/io/transport/direct/reload.go
+++ b/io/transport/direct/reload.go
@@ -1,9 +1,20 @@
 package direct
 
-import "slices"
+import (
+	"net/netip"
+	"slices"
 
-// Reload applies new settings for peers, limits and the learning of speeds. Names, addresses, the readiness path and the flow
-// age cannot change while the process runs. A change of them takes effect at the next start and is logged.
+	"cornellb/core/coordination/steering"
+)
+
+// coldLimit returns the limit of flows on cold endpoints. The list of peers may contain this balancer itself.
+func (s *Settings) coldLimit() steering.ColdLimit {
+	isOther := func(a netip.AddrPort) bool { return a != s.PeerAddress }
+	return steering.ColdLimit{Overshoot: s.ColdOvershoot, Slack: s.ColdSlack, HasPeers: slices.ContainsFunc(s.Peers, isOther)}
+}
+
+// Reload applies new settings for peers, limits, cold endpoints and the learning of speeds. Names, addresses, the readiness
+// path and the flow age cannot change while the process runs. A change of them takes effect at the next start and is logged.
 func (p *Process) Reload(s *Settings) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -11,6 +22,7 @@
 	applied := *old
 	applied.Peers, applied.ApplyLimit, applied.LeaveLimit, applied.DrainLimit = s.Peers, s.ApplyLimit, s.LeaveLimit, s.DrainLimit
 	applied.EvacuateLimit = s.EvacuateLimit
+	applied.ColdOvershoot, applied.ColdSlack = s.ColdOvershoot, s.ColdSlack
 	var changed []string
 	if !slices.Equal(old.Peers, s.Peers) {
 		changed = append(changed, "peers")
@@ -35,7 +47,11 @@
 		applied.LearnsSpeed = s.LearnsSpeed
 		p.forwarder.SetLearnsSpeed(s.LearnsSpeed)
 	}
+	if old.ColdOvershoot != s.ColdOvershoot || old.ColdSlack != s.ColdSlack {
+		changed = append(changed, "cold_limit")
+	}
 	p.settings = &applied
+	p.forwarder.SetColdLimit(p.adapters.Clock.Now(), applied.coldLimit())
 	limits := applied.limits()
 	p.peers.plan.SetLimits(limits)
 	p.forwarder.SetConfirmedFor(limits.Configuration)
