Go on placing flows when the limit for evacuations is added to the settings

Cause: after a reload that adds the limit, a balancer held opening packets until it had read the evacuations. On a slow host they are dropped after 0.7 s with all of their copies. TestDirectAllEvacuated saw 2 flows that did not open, once, with a load average of 30 on the machine; its log did not reach back to the reload, so that this cause is not confirmed.

Change: only a balancer that starts waits for the evacuations.

--- a/core/coordination/discovery/evacuations.go
+++ b/core/coordination/discovery/evacuations.go
@@ -8,19 +8,12 @@
 
 // evacuations is what a State passes on to snapshots of the evacuated failure domains.
 type evacuations struct {
-	isRequired bool // no flow may be placed before they are known
-	isKnown    bool
-	domains    map[string]bool
+	isAwaited bool // no flow may be placed before they are known
+	domains   map[string]bool
 }
 
-// RequireEvacuations sets whether flows may only be placed when the evacuations are known. Without that, no failure domain
-// is evacuated.
-func (s *State) RequireEvacuations(isRequired bool) {
-	if s.evacuations.isRequired != isRequired {
-		s.evacuations = evacuations{isRequired: isRequired}
-		s.isDirty = true
-	}
-}
+// AwaitEvacuations makes flows wait until Evacuate is called, as at the start of a process.
+func (s *State) AwaitEvacuations() { s.evacuations.isAwaited, s.isDirty = true, true }
 
 // Evacuate replaces the evacuated failure domains.
 func (s *State) Evacuate(domains []string) {
@@ -28,18 +21,13 @@
 	for _, name := range domains {
 		set[name] = true
 	}
-	if !s.evacuations.isKnown || !maps.Equal(set, s.evacuations.domains) {
-		s.evacuations.isKnown, s.evacuations.domains = true, set
+	if s.evacuations.isAwaited || !maps.Equal(set, s.evacuations.domains) {
+		s.evacuations = evacuations{domains: set}
 		s.isDirty = true
 	}
 }
 
-// KnowsEvacuations reports whether the evacuations are known or not required.
-func (s *State) KnowsEvacuations() bool { return s.evacuations.isKnown || !s.evacuations.isRequired }
+// KnowsEvacuations reports whether the evacuations are known, or nothing waits for them.
+func (s *State) KnowsEvacuations() bool { return !s.evacuations.isAwaited }
 
-func (e *evacuations) addTo(s *directory.Snapshot) {
-	s.IsUnsure = e.isRequired && !e.isKnown
-	if e.isRequired {
-		s.Evacuated = e.domains
-	}
-}
+func (e *evacuations) addTo(s *directory.Snapshot) { s.IsUnsure, s.Evacuated = e.isAwaited, e.domains }
--- a/io/transport/direct/direct.go
+++ b/io/transport/direct/direct.go
@@ -141,7 +141,9 @@
 		state: discovery.New(discovery.Config{FlowAge: s.FlowAge, ReregistrationTime: reregistrationTime}),
 	}
 	p.evacuations.request = newReadRequest()
-	p.refreshEvacuations(a.Clock.Now())
+	if p.refreshEvacuations(a.Clock.Now()); s.EvacuateLimit > 0 {
+		p.state.AwaitEvacuations()
+	}
 	p.ctx, p.cancel = context.WithCancel(context.Background())
 	if err := p.open(); err != nil {
 		p.Close()
--- a/io/transport/direct/evacuations.go
+++ b/io/transport/direct/evacuations.go
@@ -155,15 +155,14 @@
 	case !isOn:
 		x.state = nil
 	}
-	p.state.RequireEvacuations(isOn)
 	var domains []string
 	if x.state != nil {
 		if !x.state.IsKnown() {
 			return
 		}
 		domains = x.state.Domains(now)
-		p.state.Evacuate(domains)
 	}
+	p.state.Evacuate(domains)
 	if slices.Equal(domains, x.inForce) {
 		return
 	}
