Treat an endpoint as cold again when its entry says so without a new start

Cause: the endpoints of an evacuated failure domain become cold without a new start. The cold time was bounded from the first sight of the incarnation, so that they counted as warm and their flows were not limited.

Change: the bound counts from the change of the entry that says so. An entry that is read once more keeps the end of the cold time that it had; its revision tells the two apart.

Result: TestColdAgainWithoutStart and TestColdTimeOfRepeatedEntry fail before; tests of discovery, steering, direct, peer and platform pass. The model of TestStatesFollowRestores compares endpoints without the new field.

--- a/core/coordination/discovery/discovery.go
+++ b/core/coordination/discovery/discovery.go
@@ -252,7 +252,9 @@
 	case e != nil && at.Compare(e.position) <= 0 || c.Revision <= s.position.Revision:
 		return false
 	case c.Endpoint != nil:
-		s.put(c.Endpoint, at)
+		changed := *c.Endpoint
+		changed.Revision = c.Revision // not in messages of other balancers
+		s.put(&changed, at)
 	case e != nil && e.isRegistered:
 		s.remove(now, e, at)
 	default:
@@ -272,6 +274,9 @@
 		return // a change newer than the list has been applied already
 	}
 	known := *endpoint
+	if f := e.endpoint; f != nil && f.StartedAt == known.StartedAt && f.Revision == known.Revision && known.Revision != 0 {
+		known.WarmAt = f.WarmAt // the same entry, read once more: the time that it states has begun earlier
+	}
 	e.endpoint, e.position, e.isRegistered, e.listed = &known, at, true, nil
 	e.usableUntil, e.forgetAt = time.Time{}, time.Time{}
 }
--- a/core/coordination/discovery/eras_test.go
+++ b/core/coordination/discovery/eras_test.go
@@ -350,7 +350,7 @@
 			x, _ := s.Snapshot(now)
 			open := map[string]directory.Endpoint{}
 			for _, e := range x.EndpointsOf("feed") {
-				open[e.ID] = *e
+				open[e.ID] = withoutRevision(*e)
 			}
 			if !maps.Equal(open, want) {
 				t.Fatalf("open endpoints %v, want %v", open, want)
@@ -359,11 +359,17 @@
 	})
 }
 
+// withoutRevision returns an endpoint as the model store has it, which keeps the revisions of changes apart from them.
+func withoutRevision(e directory.Endpoint) directory.Endpoint {
+	e.Revision = 0
+	return e
+}
+
 // checkRegistered compares the registered endpoints with those in the store.
 func checkRegistered(t *rapid.T, s *discovery.State, want map[string]directory.Endpoint) {
 	got := map[string]directory.Endpoint{}
 	for _, e := range s.Registered() {
-		got[e.ID] = e
+		got[e.ID] = withoutRevision(e)
 	}
 	if !maps.Equal(got, want) {
 		t.Fatalf("registered endpoints at %v: %v, want %v", s.Position(), got, want)
--- a/core/coordination/discovery/foreign_test.go
+++ b/core/coordination/discovery/foreign_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/netip"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -56,3 +57,24 @@
 		})
 	}
 }
+
+// TestColdTimeOfRepeatedEntry guards against an endpoint that stays cold because its unchanged entry, which still states the
+// whole time, is listed again, and against one whose changed entry says that it is cold once more.
+func TestColdTimeOfRepeatedEntry(t *testing.T) {
+	is := is.New(t)
+	s := newState()
+	cold := func(revision uint64, warmAt int) directory.Endpoint {
+		e := endpoint("i-1")
+		e.Revision, e.WarmAt = revision, start.Add(time.Duration(warmAt)*time.Second)
+		return e
+	}
+	warmAt := func() int { return int(s.Registered()[0].WarmAt.Sub(start).Seconds()) }
+	s.Replace(start, []directory.Endpoint{cold(4, 2)}, at(10))
+	s.Replace(start, []directory.Endpoint{cold(4, 9)}, at(11))
+	is.Equal(warmAt(), 2)
+	changed := cold(0, 20) // as another balancer sends it
+	s.Apply(start, []discovery.Change{{ID: "i-1", Endpoint: &changed, Revision: 12}}, at(11), at(12))
+	is.Equal(warmAt(), 20)
+	s.Replace(start, []directory.Endpoint{cold(12, 30)}, at(13))
+	is.Equal(warmAt(), 20)
+}
--- a/core/coordination/steering/cold.go
+++ b/core/coordination/steering/cold.go
@@ -97,12 +97,26 @@
 	}
 }
 
+// restateTolerance is how much later the end of the cold time must be stated for an endpoint to have become cold anew. The
+// same end arrives with different delays.
+const restateTolerance = 500 * time.Millisecond
+
 // updateCold updates the state of an endpoint from its entry. The entry of a cold endpoint states the time that is left,
 // and one that is read late states too much. So the endpoint is warm at the latest when the whole time has passed since
-// this balancer first saw the incarnation.
+// this balancer first saw that it is cold. An endpoint may become cold again without a new start, as when its failure
+// domain was evacuated.
 func (v *endpointState) updateCold(now time.Time, s *directory.Service, l ColdLimit) {
+	if v.cold != nil && !now.Before(v.cold.until) {
+		v.cold = nil
+	}
+	isOther := v.statedWarmAt.IsZero() || v.endpoint.Revision != v.statedRevision
+	if isOther && v.endpoint.WarmAt.After(v.statedWarmAt.Add(restateTolerance)) {
+		if v.statedWarmAt, v.statedRevision = v.endpoint.WarmAt, v.endpoint.Revision; v.cold == nil {
+			v.coldSince = now
+		}
+	}
 	until := v.endpoint.WarmAt
-	if latest := v.seenAt.Add(s.ColdTime); s.ColdTime > 0 && until.After(latest) {
+	if latest := v.coldSince.Add(s.ColdTime); s.ColdTime > 0 && until.After(latest) {
 		until = latest
 	}
 	if !now.Before(until) {
--- a/core/coordination/steering/cold_test.go
+++ b/core/coordination/steering/cold_test.go
@@ -326,3 +326,22 @@
 	s.chill(inFirstDomain)
 	is.Equal(w.ColdEndpoints(w.now), 1) // a new incarnation
 }
+
+// TestColdAgainWithoutStart guards against an endpoint that counts as warm although its entry has changed and says that it is
+// cold: the endpoints of an evacuated failure domain become cold without a new start.
+func TestColdAgainWithoutStart(t *testing.T) {
+	is := is.New(t)
+	s := newColdSite(1, 1, 1)
+	w := s.balancers[0]
+	for revision := range uint64(3) {
+		again := *s.endpoints[0]
+		again.WarmAt, again.Revision = w.now.Add(coldTime), revision+1
+		s.endpoints[0] = &again
+		s.publish()
+		is.Equal(w.ColdEndpoints(w.now), 1)
+		w.advance(coldTime)
+		s.publish()
+		is.Equal(w.ColdEndpoints(w.now), 0)
+		w.advance(10 * time.Second)
+	}
+}
--- a/core/coordination/steering/endpoint.go
+++ b/core/coordination/steering/endpoint.go
@@ -45,8 +45,10 @@
 	penalty    float64  // 1 - weight: the part of its share of new flows that the endpoint does not get
 	isDegraded bool     // state that was last logged
 
-	speed  endpointSpeed
-	seenAt time.Time // when this balancer first saw the incarnation
+	speed          endpointSpeed
+	coldSince      time.Time // when this balancer first saw that the endpoint is cold, the last time that it became so
+	statedWarmAt   time.Time // end of that as it was stated then
+	statedRevision uint64    // of the entry that stated it
 }
 
 // resetHealth discards what was observed and reported of the former incarnations of endpoints that have restarted.
--- a/core/coordination/steering/steering.go
+++ b/core/coordination/steering/steering.go
@@ -185,11 +185,11 @@
 		known[e.ID] = true
 		v := f.endpointStates[e.ID]
 		if v == nil {
-			v = &endpointState{seenAt: now}
+			v = &endpointState{}
 			f.endpointStates[e.ID] = v
 		} else if v.endpoint.StartedAt != e.StartedAt {
 			restarted[v] = true
-			v.seenAt, v.cold = now, nil
+			v.statedWarmAt, v.cold = time.Time{}, nil
 		}
 		v.endpoint = e
 		v.cookie, v.hasCookie = s.CookieOf(e)
--- a/core/state/directory/directory.go
+++ b/core/state/directory/directory.go
@@ -75,6 +75,7 @@
 	IsGone        bool           // no longer registered: keeps its flows, gets no new ones
 	StartedAt     int64          // Unix time in ms, by the endpoint's clock; identifies the incarnation
 	WarmAt        time.Time      // until then the endpoint serves requests more slowly
+	Revision      uint64         // of the store at the last change of the entry; 0 if unknown, as in a list of another balancer
 }
 
 // IsOpen reports whether the endpoint may get new flows.
