Judge a read of evacuations without a list by what was known before it

Cause: a store without objects of the kind answers 404, which has no revision. After a restore such a set got a revision of the former era, so that the evacuations of the new one were ignored until the store had passed it. An answer from before an evacuation that arrived during the read ended that evacuation, since the position was compared with the set at the end of the read.

Change: a set without a position gets the lowest position of a higher era; it is ignored if it is of a lower era, or if another set was received during the read. The era for a missing header is also that of the known set.

--- a/io/transport/direct/era_test.go
+++ b/io/transport/direct/era_test.go
@@ -175,3 +175,80 @@
 	})
 	is.Equal(p.Position(), directory.Position{Era: 5, Revision: 100})
 }
+
+// kindlessStore is a restorableStore that has no list of evacuations while there is none.
+type kindlessStore struct {
+	*restorableStore
+	domains []string
+	listEra uint64 // of the answer without a list, if not 0
+	began   chan struct{}
+	release chan struct{} // blocks the next answer without a list, if not nil
+}
+
+func (s *kindlessStore) Evacuations(context.Context) (*directory.Evacuations, []direct.Fault, error) {
+	s.mu.Lock()
+	at, domains, release := s.at, s.domains, s.release
+	if s.listEra > 0 {
+		at.Era = s.listEra
+	}
+	s.release = nil
+	s.mu.Unlock()
+	if release != nil {
+		close(s.began)
+		<-release
+	}
+	if len(domains) == 0 {
+		at.Revision = 0
+	}
+	return &directory.Evacuations{Position: at, Domains: domains}, nil, nil
+}
+
+func (s *kindlessStore) set(change func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change()
+}
+
+func startKindless(t *testing.T, s *kindlessStore) (*direct.Process, *output) {
+	t.Helper()
+	out := &output{}
+	p, err := direct.Start(withEvacuations(), direct.Adapters{Store: s, Codec: codec{}, Clock: clock{}},
+		slog.New(slog.NewTextHandler(out, nil)))
+	is.New(t).NoErr(err)
+	t.Cleanup(p.Close)
+	eventually(t, "ready", p.IsReady)
+	return p, out
+}
+
+// TestNoListInNewEra guards against an evacuation that takes no effect after a restore, because an answer without a list
+// was given a revision of the former era, which the store has not reached again.
+func TestNoListInNewEra(t *testing.T) {
+	s := &kindlessStore{restorableStore: &restorableStore{at: directory.Position{Era: 1, Revision: 1000}}}
+	p, out := startKindless(t, s)
+	s.set(func() { s.at.Revision, s.listEra = 1001, 2 }) // restored between the watch that causes a read and the read
+	eventually(t, "set of the new era", func() bool { return p.EvacuationsPosition().Era == 2 })
+	s.set(func() { s.at, s.listEra = directory.Position{Era: 2, Revision: 900}, 0 })
+	eventually(t, "new era", func() bool { return p.Position().Era == 2 })
+	s.set(func() { s.at.Revision, s.domains = 905, []string{"attiki-2"} })
+	eventually(t, "evacuated", func() bool { return out.count("failure domain evacuated") > 0 })
+}
+
+// TestLateAnswerWithoutList guards against an evacuation that ends on a balancer because a read from before it is answered
+// late, without a list.
+func TestLateAnswerWithoutList(t *testing.T) {
+	is := is.New(t)
+	s := &kindlessStore{restorableStore: &restorableStore{at: directory.Position{Era: 1, Revision: 10}}}
+	p, out := startKindless(t, s)
+	s.set(func() { s.at.Revision, s.began, s.release = 11, make(chan struct{}), make(chan struct{}) })
+	release := s.release
+	<-s.began
+	p.Peers().HandleAnnouncement(netip.AddrPort{}, &spread.Announcement{
+		Reader: 9, Sequence: 1, Version: 7, Era: 1, Revision: 11, Base: 11,
+		Evacuations: &directory.Evacuations{Position: directory.Position{Era: 1, Revision: 20}, Domains: []string{"attiki-2"}},
+	})
+	eventually(t, "evacuated", func() bool { return out.count("failure domain evacuated") > 0 })
+	s.set(func() { s.at.Revision, s.domains = 20, []string{"attiki-2"} })
+	close(release)
+	time.Sleep(500 * time.Millisecond)
+	is.Equal(out.count("failure domain restored"), 0)
+}
--- a/io/transport/direct/evacuations.go
+++ b/io/transport/direct/evacuations.go
@@ -100,7 +100,13 @@
 func (p *Process) fetchEvacuations() error {
 	began := p.adapters.Clock.Now()
 	p.mu.Lock()
-	reached := p.state.Position()
+	reached, domains := p.state.Position(), []string(nil)
+	if s := p.evacuations.state; s != nil {
+		domains = s.Current().Domains
+		if at := s.Current().Position; at.Compare(reached) > 0 {
+			reached = at
+		}
+	}
 	p.mu.Unlock()
 	e, faults, err := p.adapters.Store.Evacuations(p.ctx)
 	if p.recordStoreCall("evacuations", err); err != nil {
@@ -110,7 +116,12 @@
 	p.update(func(now time.Time) {
 		e.Position = discovery.StorePosition(e.Position, reached.Era)
 		if s := p.evacuations.state; s != nil && e.Revision == 0 {
-			reached.Era = max(reached.Era, e.Era)
+			if e.Era < reached.Era || s.IsKnown() && !slices.Equal(s.Current().Domains, domains) {
+				return // from before a restore, or possibly from before a set that was received during the call
+			}
+			if e.Era > reached.Era {
+				reached = directory.Position{Era: e.Era} // revisions of another era say nothing about this one
+			}
 			e.Position = s.Locate(reached)
 		}
 		p.mergeEvacuations(now, e, began, "store")
--- a/io/transport/direct/export_era_test.go
+++ b/io/transport/direct/export_era_test.go
@@ -14,3 +14,10 @@
 	defer p.mu.Unlock()
 	return p.state.Position()
 }
+
+// EvacuationsPosition returns the position of the known set of evacuations.
+func (p *Process) EvacuationsPosition() directory.Position {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.evacuationsPosition()
+}
