Take over the weight of a host that an earlier version has left out

Cause: a member of the previous version passes records on without the weight. A balancer that heard of a weak host from it kept weight 0, which counts as the full one, as the host's own record has the same refutation number and was ignored. Such a balancer takes another host for the reader than all others, for as long as both processes run.

Change: a record with the same refutation number fills in a missing weight, and one without a weight does not remove it.

--- a/core/coordination/membership/membership_test.go
+++ b/core/coordination/membership/membership_test.go
@@ -249,6 +249,23 @@
 	}
 }
 
+// TestWeightFromEarlierVersion guards against members that rank a weak host differently for ever, because one of them
+// learned of it from a member of an earlier version, whose records have no weight.
+func TestWeightFromEarlierVersion(t *testing.T) {
+	is := is.New(t)
+	m, _ := benchMachine(3)
+	h := benchHost(1)
+	h.State, h.Refutation = member.StateAlive, 1
+	m.merge(h, sourceGossip) // without weight
+	h.Weight = 30
+	m.merge(h, sourceGossip) // from the member itself
+	is.Equal(m.records[h.Incarnation].host.Weight, uint8(30))
+	is.True(m.dirty) // so that the view is published again
+	h.Weight = 0
+	m.merge(h, sourceGossip) // again from a member of an earlier version
+	is.Equal(m.records[h.Incarnation].host.Weight, uint8(30))
+}
+
 // TestRestart guards against an old incarnation that stays reachable after a newer process started at its address, and
 // against a newer process that the others leave out, also when the host's clock was set back.
 func TestRestart(t *testing.T) {
--- a/core/coordination/membership/merge.go
+++ b/core/coordination/membership/merge.go
@@ -86,6 +86,10 @@
 		m.mergeOwnHostKey(&h)
 	}
 	known := m.recordOf(h.Incarnation)
+	if known != nil && known.host.Weight == 0 && h.Weight != 0 && h.Refutation == known.host.Refutation {
+		known.host.Weight = h.Weight // a member of an earlier version passed the record on without it
+		m.dirty = true
+	}
 	switch {
 	case known == nil:
 		m.add(h, from)
@@ -169,9 +173,11 @@
 // update applies a record that takes precedence over the one of a known member.
 func (m *Machine) update(r *record, h member.Host) {
 	wasGone := isGone(r.host.State)
+	if h.Weight != 0 || h.Refutation != r.host.Refutation {
+		r.host.Weight = h.Weight
+	}
 	r.host.Refutation = h.Refutation
 	r.host.StartedAt = h.StartedAt
-	r.host.Weight = h.Weight
 	key := hostKeyOf(r.host)
 	current := m.newestByKey[key]
 	switch {
