Test a late answer of a former era without a list

Cause: the test of a late answer read a channel without the lock, which the race detector reports in some runs, and answers of a former era had no test.

Change: the channels are made before they are set; a test of an evacuation that a 404 of the former era must not end. A comment named a parameter that does not exist.

--- a/io/transport/direct/era_test.go
+++ b/io/transport/direct/era_test.go
@@ -181,20 +181,22 @@
 	*restorableStore
 	domains []string
 	listEra uint64 // of the answer without a list, if not 0
+	reads   int
 	began   chan struct{}
 	release chan struct{} // blocks the next answer without a list, if not nil
 }
 
 func (s *kindlessStore) Evacuations(context.Context) (*directory.Evacuations, []direct.Fault, error) {
 	s.mu.Lock()
-	at, domains, release := s.at, s.domains, s.release
+	at, domains, began, release := s.at, s.domains, s.began, s.release
 	if s.listEra > 0 {
 		at.Era = s.listEra
 	}
 	s.release = nil
+	s.reads++
 	s.mu.Unlock()
 	if release != nil {
-		close(s.began)
+		close(began)
 		<-release
 	}
 	if len(domains) == 0 {
@@ -239,9 +241,9 @@
 	is := is.New(t)
 	s := &kindlessStore{restorableStore: &restorableStore{at: directory.Position{Era: 1, Revision: 10}}}
 	p, out := startKindless(t, s)
-	s.set(func() { s.at.Revision, s.began, s.release = 11, make(chan struct{}), make(chan struct{}) })
-	release := s.release
-	<-s.began
+	began, release := make(chan struct{}), make(chan struct{})
+	s.set(func() { s.at.Revision, s.began, s.release = 11, began, release })
+	<-began
 	p.Peers().HandleAnnouncement(netip.AddrPort{}, &spread.Announcement{
 		Reader: 9, Sequence: 1, Version: 7, Era: 1, Revision: 11, Base: 11,
 		Evacuations: &directory.Evacuations{Position: directory.Position{Era: 1, Revision: 20}, Domains: []string{"attiki-2"}},
@@ -252,3 +254,20 @@
 	time.Sleep(500 * time.Millisecond)
 	is.Equal(out.count("failure domain restored"), 0)
 }
+
+// TestAnswerOfFormerEraWithoutList guards against an evacuation that ends because of an answer from before a restore.
+func TestAnswerOfFormerEraWithoutList(t *testing.T) {
+	is := is.New(t)
+	s := &kindlessStore{restorableStore: &restorableStore{at: directory.Position{Era: 2, Revision: 20}}, domains: []string{"attiki-2"}}
+	_, out := startKindless(t, s)
+	is.Equal(out.count("failure domain evacuated"), 1)
+	s.set(func() { s.at.Revision, s.domains, s.listEra = 21, nil, 1 })
+	eventually(t, "answers of the former era", func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.reads >= 3
+	})
+	is.Equal(out.count("failure domain restored"), 0)
+	s.set(func() { s.listEra = 0 })
+	eventually(t, "restored", func() bool { return out.count("failure domain restored") > 0 })
+}
--- a/io/transport/direct/evacuations.go
+++ b/io/transport/direct/evacuations.go
@@ -195,8 +195,8 @@
 	x.inForce = domains
 }
 
-// sentEvacuations returns the known set and its age, or nil if there is none or it has more than limit names or more than
-// maxBytes bytes. The caller holds p.mu.
+// sentEvacuations returns the known set and its age. The set is nil if none is known, with age 0, or if it has more than
+// maxSentEvacuations names or more than maxBytes bytes, with its age. The caller holds p.mu.
 func (p *Process) sentEvacuations(now time.Time, maxBytes int) (*directory.Evacuations, time.Duration) {
 	s := p.evacuations.state
 	if s == nil || !s.IsKnown() {
