Announce a fetched set of evacuations only if it is clearly newer

Cause: while the store does not answer, each balancer fetches the set from another one and announced it if it was confirmed any later than the own one. The age in an announcement lacks the time on its way, so that sets look younger at each receiver, and the next fetch found one that was confirmed a few ms later: all balancers of a failure domain went on announcing to each other, and ages did not grow as they should.

Change: a fetched set is announced if its names differ, or if it was confirmed over a second later.

--- a/core/coordination/evacuation/evacuation.go
+++ b/core/coordination/evacuation/evacuation.go
@@ -135,6 +135,23 @@
 // Age returns the time since the set was last known to be the newest.
 func (s *State) Age(now time.Time) time.Duration { return now.Sub(s.asOf) }
 
+// Mark is what a State knew at some time.
+type Mark struct {
+	isKnown bool
+	domains []string
+	asOf    time.Time
+}
+
+// Mark returns what the state knows now.
+func (s *State) Mark() Mark { return Mark{s.isKnown, s.current.Domains, s.asOf} }
+
+// HasAdvanced reports whether the set has changed since m, or was confirmed later by more than least. An age from another
+// balancer lacks the time on its way: a smaller difference may be no news, and balancers that tell each other of it while
+// no store answers would never stop.
+func (s *State) HasAdvanced(m Mark, least time.Duration) bool {
+	return s.isKnown != m.isKnown || !slices.Equal(s.current.Domains, m.domains) || s.asOf.Sub(m.asOf) > least
+}
+
 // Domains returns the failure domains that are evacuated now, sorted. The caller must not change them.
 func (s *State) Domains(now time.Time) []string {
 	if len(s.former) == 0 || !now.Before(s.formerUntil) {
--- a/core/coordination/evacuation/evacuation_test.go
+++ b/core/coordination/evacuation/evacuation_test.go
@@ -1,6 +1,7 @@
 package evacuation_test
 
 import (
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -79,6 +80,53 @@
 	is.Equal(s.Locate(directory.Position{Era: 1, Revision: 8}), directory.Position{Era: 1, Revision: 11}) // unchanged
 }
 
+// TestOutageEndsAnnouncements guards against balancers that announce a set to each other for as long as the store does not
+// answer: each announcement makes the set look younger by the time on its way.
+func TestOutageEndsAnnouncements(t *testing.T) {
+	is := is.New(t)
+	const (
+		balancers = 100
+		onTheWay  = 4 * time.Millisecond
+		least     = time.Second
+	)
+	random := rand.New(rand.NewPCG(1, 1))
+	var states []*evacuation.State
+	for i := range balancers {
+		s := newState()
+		s.Merge(start, set(1, 10, "attiki-1"), start.Add(time.Duration(i)*10*time.Millisecond)) // the last of the store
+		states = append(states, s)
+	}
+	now, announcements := start.Add(time.Minute), 0
+	for range 100 * balancers { // each balancer fetches once in 3 s
+		now = now.Add(3 * time.Second / balancers)
+		s, from := states[random.IntN(balancers)], states[random.IntN(balancers)]
+		before, sent := s.Mark(), from.Current()
+		s.Merge(now, &sent, now.Add(-from.Age(now)))
+		if !s.HasAdvanced(before, least) {
+			continue
+		}
+		announcements++
+		for _, other := range states {
+			e := s.Current()
+			other.Merge(now, &e, now.Add(onTheWay-s.Age(now)))
+		}
+	}
+	is.Equal(announcements, 0) // no set was confirmed clearly later than another
+
+	s := newState()
+	m := s.Mark()
+	s.Merge(start, set(1, 10), start)
+	is.True(s.HasAdvanced(m, least)) // first set
+	m = s.Mark()
+	s.Merge(start, set(1, 11, "attiki-1"), start)
+	is.True(s.HasAdvanced(m, least)) // other set
+	m = s.Mark()
+	s.Merge(start, set(1, 12, "attiki-1"), start.Add(least))
+	is.True(!s.HasAdvanced(m, least))
+	s.Merge(start, set(1, 12, "attiki-1"), start.Add(least+1))
+	is.True(s.HasAdvanced(m, least))
+}
+
 // world is a store with its history, and balancers that exchange sets.
 type world struct {
 	now       time.Time
--- a/io/transport/direct/evacuations.go
+++ b/io/transport/direct/evacuations.go
@@ -29,6 +29,9 @@
 	evacuationsPauseShare = 0.27
 	// evacuationsFetchPause is the least time between two fetches of the set from other balancers.
 	evacuationsFetchPause = time.Second
+	// minAnnouncedGain is how much later a fetched set must have been confirmed than the own one to be announced. While the
+	// store refuses a failure domain, all its balancers fetch; about one of them in this time announces.
+	minAnnouncedGain = time.Second
 	// maxAnnouncedBytes is the largest size of the names in an announcement, half of a datagram. The rest is left to changes
 	// of endpoints.
 	maxAnnouncedBytes = 600
@@ -267,7 +270,7 @@
 		p.mu.Unlock()
 		return
 	}
-	before := s.AsOf()
+	before := s.Mark()
 	p.mu.Unlock()
 	select {
 	case h.fetching <- struct{}{}:
@@ -276,7 +279,7 @@
 	}
 	isAnswered := h.fetch(from)
 	<-h.fetching
-	if isAnswered && p.withLock(func() bool { return s.AsOf().After(before) }) {
+	if isAnswered && p.withLock(func() bool { return s.HasAdvanced(before, minAnnouncedGain) }) {
 		h.announce()
 	}
 }
