Back off while a restored store without eras is behind

Cause: a store that was restored and sends no header has lower revisions. Each watch from the known revision ended with 410, the list after it was ignored as older, and the reader began again after 0.2 s: 15 lists and as many watches and announcements in a trial of 3 s.

Change: if a revision is gone again before any watch from it was answered, the reader waits as after a failed call.

Result: TestRestoreWithoutHeaderBacksOff (at most 4 lists in 3 s, from one call a second) failed before; the tests of io/transport/direct pass with -race.

--- a/io/transport/direct/era_test.go
+++ b/io/transport/direct/era_test.go
@@ -127,6 +127,26 @@
 	is.Equal(len(s.fresh), 1)
 }
 
+// TestRestoreWithoutHeaderBacksOff guards against calls without a pause of a store that was restored and sends no era: its
+// lists are ignored and its watches fail until its revisions have passed those from before.
+func TestRestoreWithoutHeaderBacksOff(t *testing.T) {
+	is := is.New(t)
+	s := &restorableStore{at: directory.Position{Revision: 100}, sendsNone: true}
+	p, _ := startRestorable(t, s)
+	s.restore(directory.Position{Revision: 90})
+	lists := func() int {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return len(s.fresh)
+	}
+	time.Sleep(2 * time.Second) // the pauses double up to a second
+	before := lists()
+	time.Sleep(3 * time.Second)
+	is.True(lists()-before <= 4) // one call a second, with jitter
+	s.restore(directory.Position{Revision: 101})
+	eventually(t, "the position of the store", func() bool { return p.Position().Revision == 101 })
+}
+
 // TestMessagesOfFormerEra guards against a balancer that takes over the endpoints from before a restore from a late
 // announcement or from a balancer without eras, and against differences for balancers that know another era.
 func TestMessagesOfFormerEra(t *testing.T) {
--- a/io/transport/direct/reader.go
+++ b/io/transport/direct/reader.go
@@ -215,6 +215,8 @@
 	isListed := false // the revision of the list is known, so changes after it can be watched
 	isFresh := false  // the first list may be stale: the watch that follows returns the missing changes
 	era := uint64(0)  // of the last reply that invalidated the revision
+	lost := uint64(0) // that revision, until a watch is answered
+	losses := 0       // how often it was invalid again
 	var answeredAt time.Time
 	for {
 		isDue := func() bool { return p.peers.plan.ReadsEndpoints(p.adapters.Clock.Now()) }
@@ -236,7 +238,9 @@
 				// have gone silent meanwhile.
 				wait = 0
 			}
-			err = p.watchEndpoints(began, wait)
+			if err = p.watchEndpoints(began, wait); err == nil {
+				lost = 0
+			}
 		} else {
 			err = p.listEndpoints(isFresh, era)
 			p.recordStartupRead(&p.wereEndpointsRead)
@@ -250,6 +254,14 @@
 			p.log.Warn("store no longer has all endpoint changes after the revision; listing the endpoints again",
 				"revision", gone.Revision, "era", gone.Era)
 			isListed, isFresh, era = false, true, gone.Era
+			if gone.Revision != lost {
+				lost, losses = gone.Revision, 0
+				continue
+			}
+			// The list in between was older than what is known, as after a restore of a store that sends no era.
+			if losses++; !p.pause(p.retryDelay(losses), nil) {
+				return
+			}
 		case err != nil:
 			failures++
 			if !p.pause(p.retryDelay(failures), nil) {
