--- a/io/transport/direct/era_test.go
+++ b/io/transport/direct/era_test.go
@@ -127,6 +127,26 @@
 	is.Equal(len(s.fresh), 1)
 }
 
+// TestRestoreWithoutHeaderBacksOff guards against calls without a pause of a store that was restored and sends no era: its
+// lists are ignored and its watches fail until its revisions have passed those from before.
+func TestRestoreWithoutHeaderBacksOff(t *testing.T) {
+	is := is.New(t)
+	s := &restorableStore{at: directory.Position{Revision: 100}, sendsNone: true}
+	p, _ := startRestorable(t, s)
+	s.restore(directory.Position{Revision: 90})
+	lists := func() int {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return len(s.fresh)
+	}
+	time.Sleep(2 * time.Second) // the pauses double up to a second
+	before := lists()
+	time.Sleep(3 * time.Second)
+	is.True(lists()-before <= 4) // one call a second, with jitter
+	s.restore(directory.Position{Revision: 101})
+	eventually(t, "the position of the store", func() bool { return p.Position().Revision == 101 })
+}
+
 // TestMessagesOfFormerEra guards against a balancer that takes over the endpoints from before a restore from a late
 // announcement or from a balancer without eras, and against differences for balancers that know another era.
 func TestMessagesOfFormerEra(t *testing.T) {
@@ -175,3 +195,99 @@
 	})
 	is.Equal(p.Position(), directory.Position{Era: 5, Revision: 100})
 }
+
+// kindlessStore is a restorableStore that has no list of evacuations while there is none.
+type kindlessStore struct {
+	*restorableStore
+	domains []string
+	listEra uint64 // of the answer without a list, if not 0
+	reads   int
+	began   chan struct{}
+	release chan struct{} // blocks the next answer without a list, if not nil
+}
+
+func (s *kindlessStore) Evacuations(context.Context) (*directory.Evacuations, []direct.Fault, error) {
+	s.mu.Lock()
+	at, domains, began, release := s.at, s.domains, s.began, s.release
+	if s.listEra > 0 {
+		at.Era = s.listEra
+	}
+	s.release = nil
+	s.reads++
+	s.mu.Unlock()
+	if release != nil {
+		close(began)
+		<-release
+	}
+	if len(domains) == 0 {
+		at.Revision = 0
+	}
+	return &directory.Evacuations{Position: at, Domains: domains}, nil, nil
+}
+
+func (s *kindlessStore) set(change func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change()
+}
+
+func startKindless(t *testing.T, s *kindlessStore) (*direct.Process, *output) {
+	t.Helper()
+	out := &output{}
+	p, err := direct.Start(withEvacuations(), direct.Adapters{Store: s, Codec: codec{}, Clock: clock{}},
+		slog.New(slog.NewTextHandler(out, nil)))
+	is.New(t).NoErr(err)
+	t.Cleanup(p.Close)
+	eventually(t, "ready", p.IsReady)
+	return p, out
+}
+
+// TestNoListInNewEra guards against an evacuation that takes no effect after a restore, because an answer without a list
+// was given a revision of the former era, which the store has not reached again.
+func TestNoListInNewEra(t *testing.T) {
+	s := &kindlessStore{restorableStore: &restorableStore{at: directory.Position{Era: 1, Revision: 1000}}}
+	p, out := startKindless(t, s)
+	s.set(func() { s.at.Revision, s.listEra = 1001, 2 }) // restored between the watch that causes a read and the read
+	eventually(t, "set of the new era", func() bool { return p.EvacuationsPosition().Era == 2 })
+	s.set(func() { s.at, s.listEra = directory.Position{Era: 2, Revision: 900}, 0 })
+	eventually(t, "new era", func() bool { return p.Position().Era == 2 })
+	s.set(func() { s.at.Revision, s.domains = 905, []string{"attiki-2"} })
+	eventually(t, "evacuated", func() bool { return out.count("failure domain evacuated") > 0 })
+}
+
+// TestLateAnswerWithoutList guards against an evacuation that ends on a balancer because a read from before it is answered
+// late, without a list.
+func TestLateAnswerWithoutList(t *testing.T) {
+	is := is.New(t)
+	s := &kindlessStore{restorableStore: &restorableStore{at: directory.Position{Era: 1, Revision: 10}}}
+	p, out := startKindless(t, s)
+	began, release := make(chan struct{}), make(chan struct{})
+	s.set(func() { s.at.Revision, s.began, s.release = 11, began, release })
+	<-began
+	p.Peers().HandleAnnouncement(netip.AddrPort{}, &spread.Announcement{
+		Reader: 9, Sequence: 1, Version: 7, Era: 1, Revision: 11, Base: 11,
+		Evacuations: &directory.Evacuations{Position: directory.Position{Era: 1, Revision: 20}, Domains: []string{"attiki-2"}},
+	})
+	eventually(t, "evacuated", func() bool { return out.count("failure domain evacuated") > 0 })
+	s.set(func() { s.at.Revision, s.domains = 20, []string{"attiki-2"} })
+	close(release)
+	time.Sleep(500 * time.Millisecond)
+	is.Equal(out.count("failure domain restored"), 0)
+}
+
+// TestAnswerOfFormerEraWithoutList guards against an evacuation that ends because of an answer from before a restore.
+func TestAnswerOfFormerEraWithoutList(t *testing.T) {
+	is := is.New(t)
+	s := &kindlessStore{restorableStore: &restorableStore{at: directory.Position{Era: 2, Revision: 20}}, domains: []string{"attiki-2"}}
+	_, out := startKindless(t, s)
+	is.Equal(out.count("failure domain evacuated"), 1)
+	s.set(func() { s.at.Revision, s.domains, s.listEra = 21, nil, 1 })
+	eventually(t, "answers of the former era", func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.reads >= 3
+	})
+	is.Equal(out.count("failure domain restored"), 0)
+	s.set(func() { s.listEra = 0 })
+	eventually(t, "restored", func() bool { return out.count("failure domain restored") > 0 })
+}
--- a/io/transport/direct/evacuations.go
+++ b/io/transport/direct/evacuations.go
@@ -29,6 +29,9 @@
 	evacuationsPauseShare = 0.27
 	// evacuationsFetchPause is the least time between two fetches of the set from other balancers.
 	evacuationsFetchPause = time.Second
+	// minAnnouncedGain is how much later a fetched set must have been confirmed than the own one to be announced. While the
+	// store refuses a failure domain, all its balancers fetch; about one of them in this time announces.
+	minAnnouncedGain = time.Second
 	// maxAnnouncedBytes is the largest size of the names in an announcement, half of a datagram. The rest is left to changes
 	// of endpoints.
 	maxAnnouncedBytes = 600
@@ -100,7 +103,13 @@
 func (p *Process) fetchEvacuations() error {
 	began := p.adapters.Clock.Now()
 	p.mu.Lock()
-	reached := p.state.Position()
+	reached, domains := p.state.Position(), []string(nil)
+	if s := p.evacuations.state; s != nil {
+		domains = s.Current().Domains
+		if at := s.Current().Position; at.Compare(reached) > 0 {
+			reached = at
+		}
+	}
 	p.mu.Unlock()
 	e, faults, err := p.adapters.Store.Evacuations(p.ctx)
 	if p.recordStoreCall("evacuations", err); err != nil {
@@ -110,7 +119,12 @@
 	p.update(func(now time.Time) {
 		e.Position = discovery.StorePosition(e.Position, reached.Era)
 		if s := p.evacuations.state; s != nil && e.Revision == 0 {
-			reached.Era = max(reached.Era, e.Era)
+			if e.Era < reached.Era || s.IsKnown() && !slices.Equal(s.Current().Domains, domains) {
+				return // from before a restore, or possibly from before a set that was received during the call
+			}
+			if e.Era > reached.Era {
+				reached = directory.Position{Era: e.Era} // revisions of another era say nothing about this one
+			}
 			e.Position = s.Locate(reached)
 		}
 		p.mergeEvacuations(now, e, began, "store")
@@ -184,8 +198,8 @@
 	x.inForce = domains
 }
 
-// sentEvacuations returns the known set and its age, or nil if there is none or it has more than limit names or more than
-// maxBytes bytes. The caller holds p.mu.
+// sentEvacuations returns the known set and its age. The set is nil if none is known, with age 0, or if it has more than
+// maxSentEvacuations names or more than maxBytes bytes, with its age. The caller holds p.mu.
 func (p *Process) sentEvacuations(now time.Time, maxBytes int) (*directory.Evacuations, time.Duration) {
 	s := p.evacuations.state
 	if s == nil || !s.IsKnown() {
@@ -256,7 +270,7 @@
 		p.mu.Unlock()
 		return
 	}
-	before := s.AsOf()
+	before := s.Mark()
 	p.mu.Unlock()
 	select {
 	case h.fetching <- struct{}{}:
@@ -265,7 +279,7 @@
 	}
 	isAnswered := h.fetch(from)
 	<-h.fetching
-	if isAnswered && p.withLock(func() bool { return s.AsOf().After(before) }) {
+	if isAnswered && p.withLock(func() bool { return s.HasAdvanced(before, minAnnouncedGain) }) {
 		h.announce()
 	}
 }
