Report no speeds of endpoints that are removed

The next report of speeds then looked it up by its cookie and ended the process with a nil pointer. Endpoints are removed when they have been gone for the longest life of a flow, so that it takes a flow that lives longer. Reports now leave out endpoints that are not found by their cookie, or whose cookie belongs to another one.

--- a/core/coordination/steering/endpointspeed.go
+++ b/core/coordination/steering/endpointspeed.go
@@ -353,13 +353,17 @@
 	}
 	var list []EndpointSpeed
 	for v := range f.timed {
+		cookie := directory.Cookie(v.endpoint.ID, 0)
+		if f.byCookie[cookie] != v {
+			continue // removed while a request was waiting, or another endpoint has the same cookie
+		}
 		f.decaySpeed(now, v)
 		x := f.firstHand(now, v)
 		isFresh := now.Sub(x.At) <= maxSampleAge && (v.speed.isFresh || !onlyUnreported)
 		isRelevant := v.speed.isNeeded || v.speed.learned > 0 && v.speed.learned < 1 || x.IsClear(v.speed.ownMedian)
 		if isRelevant && x.Samples >= forgottenSamples && (isFresh || len(v.speed.waiting) > 0) {
 			list = append(list, EndpointSpeed{
-				Cookie: directory.Cookie(v.endpoint.ID, 0), Samples: x.Samples, Ratio: x.Ratio(v.speed.ownMedian),
+				Cookie: cookie, Samples: x.Samples, Ratio: x.Ratio(v.speed.ownMedian),
 			})
 		}
 	}
