Spread the flows of a failure domain while its own endpoints are cold

After an evacuation all endpoints of a failure domain may be cold. Its balancers then sent every new flow to the one other domain that looked least loaded, from reports that are up to some seconds old, although those of an evacuated domain choose at random in proportion to the free capacity. They now do so as well while their own domain has no endpoint that may get the flow. In TestReturningDomainSpreads, with loads of 20 and 24 flows for each endpoint elsewhere, 72 of 72 flows went to the first domain before, and 31 and 41 do now. The tests of steering pass with -race.

--- a/core/coordination/steering/choice.go
+++ b/core/coordination/steering/choice.go
@@ -141,7 +141,7 @@
 func (f *Forwarder) choose(now time.Time, name string, excluded *endpointState) (*endpointState, Reason) {
 	s := f.serviceNamed(now, name)
 	var best *endpointState
-	var lowest float64
+	lowest := math.Inf(1)
 	reason := ReasonNoEndpoint
 	if len(s.groups) > 0 && !slices.ContainsFunc(s.groups, f.isOpenGroup) {
 		reason = ReasonEvacuated
@@ -149,11 +149,13 @@
 	hasOwn := s.own != nil && f.isOpenGroup(s.own)
 	if hasOwn {
 		best, lowest = f.cheapest(now, s, s.own, f.choices(s.own), excluded)
-	} else {
-		best, lowest = f.chooseElsewhere(now, s, excluded)
 	}
-	other, otherLoad := f.leastLoaded(now, s)
-	if hasOwn && other != nil && !(lowest < suspectPenalty && s.own.mean() <= SpillFactor*otherLoad+SpillMargin) {
+	if math.IsInf(lowest, 1) { // none, evacuated, or all are cold and may get no flow
+		if v, cost := f.chooseElsewhere(now, s, excluded); v != nil {
+			best, lowest = v, cost
+		}
+	} else if other, otherLoad := f.leastLoaded(now, s); other != nil &&
+		!(lowest < suspectPenalty && s.own.mean() <= SpillFactor*otherLoad+SpillMargin) {
 		candidate, cost := f.cheapest(now, s, other, otherDomainChoices, excluded)
 		if best == nil || cost < max(lowest, suspectPenalty) {
 			best, lowest = candidate, cost
