Leave the slots of cold endpoints out of the utilization

A cold endpoint gets few flows per second, or none from a balancer that does not own it, but counted with 0.6 of its slots in the utilization of its service. While a failure domain is cold, less urgent flows were admitted for slots that nothing may use, and took the queues of the warm endpoints from the more urgent ones. Neither the slots nor the requests of limited endpoints count now, as for evacuated ones.

--- a/core/coordination/steering/interplay_test.go
+++ b/core/coordination/steering/interplay_test.go
@@ -77,3 +77,31 @@
 	is.True(opened["attiki-3"] >= balancers*flows*2/5-16)
 	is.True(opened["attiki-2"] >= balancers*flows*2/5-16)
 }
+
+// TestColdSlotsAreNoRoom guards against flows that are admitted for the slots of cold endpoints, which may not get them.
+func TestColdSlotsAreNoRoom(t *testing.T) {
+	is := is.New(t)
+	refused := map[int]int{}
+	for _, cold := range []int{0, 4} {
+		w := newRoomHarness(4)
+		w.idle = time.Hour
+		for i := range cold {
+			e := endpoint(fmt.Sprint("cold-", i), "attiki-1")
+			e.WarmAt = start.Add(time.Minute)
+			w.endpoints = append(w.endpoints, e)
+		}
+		w.SetColdLimit(w.now, coldLimit)
+		c := &directory.Configuration{Version: 9, Routes: w.routes, Services: []directory.Service{{Name: "feed", HasColdRate: true}}}
+		w.SetSnapshot(w.now, directory.NewSnapshot(c, nil, w.endpoints))
+		w.reportRequests(60)
+		for range 100 {
+			if f, d := w.open(feedAddress); d.Reason == steering.ReasonNoRoom {
+				refused[cold]++
+			} else {
+				w.close(f)
+			}
+		}
+	}
+	is.True(refused[0] > 0)
+	is.Equal(refused[4], refused[0])
+}
--- a/core/coordination/steering/room.go
+++ b/core/coordination/steering/room.go
@@ -148,15 +148,15 @@
 }
 
 // ownRequests returns the requests of this balancer that wait for an answer, the flows of all balancers, and the slots,
-// on the endpoints that may get new flows. Suspect endpoints are left out, with their slots, unless withSuspects is set
-// or they have made progress lately.
-func (f *Forwarder) ownRequests(now time.Time, s *service, withSuspects bool) (own int, flows, slots float64) {
+// on the endpoints that may get new flows. Endpoints that are not in use are left out, with their slots, unless
+// withUnused is set.
+func (f *Forwarder) ownRequests(now time.Time, s *service, withUnused bool) (own int, flows, slots float64) {
 	for _, g := range s.groups {
 		if !f.isOpenGroup(g) {
 			continue
 		}
 		for _, v := range g.endpoints {
-			if !withSuspects && !v.isInUse(now) {
+			if !withUnused && !v.isInUse(now) {
 				continue
 			}
 			own += v.requests()
@@ -167,9 +167,10 @@
 	return own, flows, slots
 }
 
-// isInUse reports whether the endpoint counts for the load of its service.
+// isInUse reports whether the endpoint counts for the load of its service. Suspect endpoints do only if they have made
+// progress lately. Cold endpoints whose flows are limited do not, as most flows may not use their slots.
 func (v *endpointState) isInUse(now time.Time) bool {
-	return v.failures == 0 || now.Sub(v.progressAt) <= suspectUse
+	return !v.isLimited(now) && (v.failures == 0 || now.Sub(v.progressAt) <= suspectUse)
 }
 
 // requests returns the requests of this balancer on the endpoint without an answer. A flow that is opening counts as
