Count requests and flows of an endpoint by the same capacity

Near saturation the cost of an endpoint takes its own flows out again and puts in its requests. The flows were added by the capacity for placement, which is larger for an endpoint that is slow and fails requests, but taken out by its speed alone. With idle flows such an endpoint cost less than an idle fast one. In TestIdleFlowsOnSlowAndFailing it got 4 of 10 new flows, and gets none now, with as many flows as the other.

--- a/core/coordination/steering/interplay_test.go
+++ b/core/coordination/steering/interplay_test.go
@@ -105,3 +105,45 @@
 	is.True(refused[0] > 0)
 	is.Equal(refused[4], refused[0])
 }
+
+// TestIdleFlowsOnSlowAndFailing guards against a slow endpoint that fails requests and is preferred near saturation, because
+// its idle flows reduce its cost below that of the others.
+func TestIdleFlowsOnSlowAndFailing(t *testing.T) {
+	is := is.New(t)
+	w := newRoomHarness(2)
+	w.idle = time.Hour
+	w.publish()
+	w.SetLearnsSpeed(true)
+	flows := map[string]int{}
+	for range 24 {
+		flows[w.openEstablished(t).endpoint.ID]++
+	}
+	is.True(flows["i-1"] > 8 && flows["i-2"] > 8)
+	for range 8 { // the utilization is an average
+		w.ApplyReport(w.now, &steering.Report{
+			Sender: 7, Rooms: []steering.ServiceRoom{{Service: steering.RoomHash("feed"), Outstanding: 8}},
+			Speeds: []steering.EndpointSpeed{
+				{Cookie: directory.Cookie("i-1", 0), Samples: 6, Ratio: 6}, {Cookie: directory.Cookie("i-2", 0), Samples: 6, Ratio: 1},
+			},
+			Outcomes: []steering.EndpointOutcomes{
+				{Cookie: directory.Cookie("i-1", 0), Good: 7, Bad: 2.5}, {Cookie: directory.Cookie("i-2", 0), Good: 12},
+			},
+		}, ownDomain)
+		w.advance(time.Second) // so that the flows are not new any more
+		f, _ := w.open(urgentAddress)
+		w.confirm(f)
+		w.close(f)
+	}
+	is.Equal(w.SlowEndpoints(), 1)
+	opened := map[string]int{}
+	for range 10 {
+		f, d := w.open(urgentAddress)
+		is.Equal(d.Verdict, steering.Forward)
+		opened[f.endpoint.ID]++
+		w.advance(2 * time.Millisecond)
+		w.confirm(f)
+		w.close(f)
+	}
+	t.Logf("new flows: %v, open flows: %v", opened, flows)
+	is.Equal(opened["i-1"], 0) // it has as many flows as the other, which is faster and fails none
+}
--- a/core/coordination/steering/room.go
+++ b/core/coordination/steering/room.go
@@ -274,7 +274,7 @@
 		return 0
 	}
 	flowsPerRequest := max(r.flows/r.outstanding, 1)
-	capacity := float64(max(v.endpoint.Slots, 1)) * f.speedOf(now, v)
+	capacity := float64(max(v.endpoint.Slots, 1)) * f.placementSpeed(now, v) // as in loadOf, so that the flows cancel out
 	return (flowsPerRequest*float64(v.requests()) - float64(v.flows)) / capacity
 }
 
