Forget the former flow of a port that is refused for lack of room

A refused opening packet left the flow tracked that its client port had before. It counted as load of its endpoint until the idle time had passed, unlike for all other refusals. TestRefusedPortIsForgotten failed before.

--- a/core/coordination/steering/interplay_test.go
+++ b/core/coordination/steering/interplay_test.go
@@ -147,3 +147,25 @@
 	t.Logf("new flows: %v, open flows: %v", opened, flows)
 	is.Equal(opened["i-1"], 0) // it has as many flows as the other, which is faster and fails none
 }
+
+// TestRefusedPortIsForgotten guards against a former flow that counts as load for the whole idle time, after its client has
+// used the port again and was refused for lack of room.
+func TestRefusedPortIsForgotten(t *testing.T) {
+	is := is.New(t)
+	w := newRoomHarness(1)
+	f := w.openEstablished(t)
+	w.request(f)
+	for range 20 {
+		w.reportRequests(200)
+		w.advance(100 * time.Millisecond)
+		w.open(urgentAddress)
+	}
+	f.sequence += 5000
+	is.Equal(w.repeat(f).Reason, steering.ReasonNoRoom)
+	before := w.TrackedFlows()
+	is.Equal(w.repeat(f).Reason, steering.ReasonNoRoom)
+	is.Equal(w.TrackedFlows(), before)
+	d := w.request(f)
+	is.Equal(d.Verdict, steering.Forward)
+	is.Equal(w.TrackedFlows(), before+1) // adopted anew, since it was forgotten
+}
--- a/core/coordination/steering/steering.go
+++ b/core/coordination/steering/steering.go
@@ -274,6 +274,7 @@
 		}
 		service := f.serviceOf(route, p.Flow)
 		if !isRepeated && p.Copy == 0 && !f.admits(now, route, service, p.Flow) {
+			f.forget(p.Flow)
 			return Decision{Verdict: Reset, Reason: ReasonNoRoom}
 		}
 		var reason Reason
