Leave abandoned requests out of the queue of an endpoint

The response time of a request is divided by the requests outstanding on its endpoint for each slot. Requests of clients that have given up, or whose flows reach other balancers now, counted for the whole idle time, so that a slow endpoint with a few of them looked fast. In TestAbandonedRequestsHideNoSlowness an endpoint that was five times slower was not slow before, and is now.

--- a/core/coordination/steering/endpointspeed.go
+++ b/core/coordination/steering/endpointspeed.go
@@ -74,7 +74,8 @@
 	timed     map[*endpointState]bool // endpoints with evidence on their speed
 	updatedAt time.Time
 
-	waitingFlows int // flows with unanswered data, on all endpoints
+	waitingFlows   int // flows with unanswered data, on all endpoints
+	abandonedFlows int // of these, flows whose clients were silent for abandonedTime at the last sweep
 }
 
 // speedOf returns the speed of an endpoint, as a part of the usual one of its service.
@@ -170,9 +171,11 @@
 }
 
 // outstanding returns the number of requests on an endpoint: those of this balancer, and of the flows that others have
-// reported the part that waits for an answer among its own.
+// reported the part that waits for an answer among its own. Flows whose clients are silent do not count, since they would
+// hide that the endpoint is slow.
 func (f *Forwarder) outstanding(v *endpointState) int {
-	return v.waitingFlows + int(v.remoteFlows*float64(f.waitingFlows)/float64(max(len(f.flows), 1)))
+	waiting := max(f.waitingFlows-f.abandonedFlows, 0)
+	return max(v.waitingFlows-v.abandonedFlows, 0) + int(v.remoteFlows*float64(waiting)/float64(max(len(f.flows), 1)))
 }
 
 // ratio returns the ratio of a response time to the usual one, corrected for the queue.
--- a/core/coordination/steering/flow.go
+++ b/core/coordination/steering/flow.go
@@ -299,6 +299,7 @@
 	}
 	f.sweptAt = now
 	f.expireReports(now)
+	f.abandonedFlows = 0
 	for _, v := range f.endpointStates {
 		v.recentlyPlaced /= 2
 		v.abandonedFlows = 0
@@ -317,6 +318,7 @@
 			delete(f.flows, k)
 		} else if !w.unansweredSince.IsZero() && now.Sub(w.lastPacketAt) > abandonedTime {
 			w.endpointState.abandonedFlows++
+			f.abandonedFlows++
 		}
 	}
 }
--- a/core/coordination/steering/interplay_test.go
+++ b/core/coordination/steering/interplay_test.go
@@ -169,3 +169,42 @@
 	is.Equal(d.Verdict, steering.Forward)
 	is.Equal(w.TrackedFlows(), before+1) // adopted anew, since it was forgotten
 }
+
+// TestAbandonedRequestsHideNoSlowness guards against an endpoint that is slow and counts as fast, because the requests of
+// clients that have given up, or whose flows reach other balancers now, count as its queue.
+func TestAbandonedRequestsHideNoSlowness(t *testing.T) {
+	is := is.New(t)
+	w := newHarness()
+	for i := range 4 {
+		w.endpoints = append(w.endpoints, endpoint(fmt.Sprint("i-", i), "attiki-1"))
+	}
+	w.idle = time.Hour
+	w.publish()
+	w.SetLearnsSpeed(true)
+	flows := map[string][]*flow{}
+	for range 120 {
+		f := w.openEstablished(t)
+		flows[f.endpoint.ID] = append(flows[f.endpoint.ID], f)
+	}
+	serve := func(rounds int, slow time.Duration) {
+		for n := range rounds {
+			for id, list := range flows {
+				f := list[n%5]
+				w.request(f)
+				w.advance(20 * time.Millisecond)
+				if id == "i-0" {
+					w.advance(slow)
+				}
+				w.answer(f)
+			}
+		}
+	}
+	serve(20, 0)
+	for _, f := range flows["i-0"][5:] { // of these clients nothing is heard any more
+		w.request(f)
+	}
+	w.advance(4 * time.Second)
+	w.advance(time.Second)
+	serve(40, 80*time.Millisecond)
+	is.Equal(w.SlowEndpoints(), 1)
+}
