Explain where a request would go now

Operators had to read log lines of a balancer to find out why flows go where they go. A balancer in the direct return mode now answers GET /explain on its operator port, and `cornellb explain` prints it: route, admission, failure domains, candidates and the rule that decides. The decision runs on a copy of the state of the service with a random source of its own. The choice of the next flows stays the same: two forwarders with the same seed, one of which is asked, decide alike over 1,500 flows.

--- a/command/root.go
+++ b/command/root.go
@@ -31,6 +31,7 @@
 	"apply":     newApplyCommand,
 	"capacity":  newCapacityCommand,
 	"evacuate":  newEvacuateCommand,
+	"explain":   newExplainCommand,
 	"forwarder": newForwarderCommand,
 	"check":     newCheckCommand,
 	"get":       newGetCommand,
--- a/core/coordination/steering/choice.go
+++ b/core/coordination/steering/choice.go
@@ -153,7 +153,7 @@
 		best, lowest = f.chooseElsewhere(now, s, excluded)
 	}
 	other, otherLoad := f.leastLoaded(now, s)
-	if hasOwn && other != nil && !(lowest < suspectPenalty && s.own.mean() <= SpillFactor*otherLoad+SpillMargin) {
+	if hasOwn && other != nil && !(lowest < suspectPenalty && s.keepsFlows(otherLoad)) {
 		candidate, cost := f.cheapest(now, s, other, otherDomainChoices, excluded)
 		if best == nil || cost < max(lowest, suspectPenalty) {
 			best, lowest = candidate, cost
@@ -165,6 +165,11 @@
 	return best, reason
 }
 
+// keepsFlows reports whether new flows stay in the own failure domain at the load of the least loaded other one.
+func (s *service) keepsFlows(otherLoad float64) bool {
+	return s.own.mean() <= SpillFactor*otherLoad+SpillMargin
+}
+
 // isOpenGroup reports whether new flows may go to the failure domain of a group.
 func (f *Forwarder) isOpenGroup(g *group) bool { return !f.isEvacuated(g.name) }
 
--- a/core/coordination/warmup/limiter.go
+++ b/core/coordination/warmup/limiter.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -23,6 +24,9 @@
 	opened []time.Time // in the last window, oldest first
 }
 
+// Clone returns a copy that shares no state with l.
+func (l *Limiter) Clone() Limiter { return Limiter{opened: slices.Clone(l.opened)} }
+
 // Allows reports whether another flow may be opened if there may be limit flows in each window.
 func (l *Limiter) Allows(now time.Time, limit int) bool {
 	expired := 0
--- a/core/coordination/warmup/warmup.go
+++ b/core/coordination/warmup/warmup.go
@@ -25,6 +25,7 @@
 
 import (
 	"encoding/binary"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -100,6 +101,13 @@
 	return &Ownership{failureDomain: failureDomain, generation: 1}
 }
 
+// Clone returns a copy that shares no state with o, to ask what o would decide without changing it.
+func (o *Ownership) Clone() *Ownership {
+	c := *o
+	c.rivals, c.pastMembers = slices.Clone(o.rivals), slices.Clone(o.pastMembers)
+	return &c
+}
+
 // SetPeers sets whether the settings name other balancers.
 func (o *Ownership) SetPeers(hasPeers bool) { o.hasPeers = hasPeers }
 
--- a/io/transport/operator/server.go
+++ b/io/transport/operator/server.go
@@ -7,7 +7,8 @@
 //	defer server.Close()
 //
 // Paths: /healthz (the process is running), /readyz (the fabric may send packets), /metrics (Prometheus text format),
-// /status (JSON).
+// /status (JSON), and in the direct return mode /explain?service=ADDRESS:PORT&client=ADDRESS:PORT (JSON): where a request
+// would go now.
 //
 // A Client reads /status of the balancers of a fleet in the direct return mode, and Summarize adds up what they have in
 // force:
@@ -112,6 +113,9 @@
 			slog.Warn("response to GET /status not written", "error", err)
 		}
 	})
+	if e, ok := state.(Explainer); ok {
+		mux.HandleFunc("GET "+explainPath, newExplainHandler(e))
+	}
 	return mux
 }
 
