--- a/core/coordination/warmup/warmup.go
+++ b/core/coordination/warmup/warmup.go
@@ -34,7 +34,8 @@
 
 const (
 	// waitTime is how long a balancer must have ranked first, under all conditions, before it opens flows. News of members
-	// takes up to 1.5 s to reach the former owner.
+	// takes up to 1.5 s to reach the former owner. It is too short if a former owner is cut off before this balancer has
+	// learned of it, see "Not kept" in docs/design/cold-endpoints.md.
 	waitTime = 2 * time.Second
 	// memberWindow is the time over which the largest number of members is kept. A part of a failure domain that is cut
 	// off becomes an owner only after it.
