Keep the bound of a cold endpoint with three owners

Cause: the random run found two seeds in which three balancers own a cold endpoint within a second, in a failure domain that is cut into halves while a member is cut off alone. Each opened half of the bound.

Change: an owner opens a third of the bound.

Result: TestBoundHoldsInKnownCases fails with half of the bound (6 flows, 5 allowed) and passes with a third; tests of warmup and steering pass.

--- a/core/coordination/steering/cold_test.go
+++ b/core/coordination/steering/cold_test.go
@@ -295,7 +295,7 @@
 	for f, d := w.open(feedAddress); d.Verdict == steering.Forward; f, d = w.open(feedAddress) {
 		flows = append(flows, f)
 	}
-	is.Equal(len(flows), coldBound/2)
+	is.Equal(len(flows), coldBound/3)
 	for _, wait := range []time.Duration{100 * time.Millisecond, 200 * time.Millisecond, 400 * time.Millisecond} {
 		w.advance(wait)
 		is.Equal(w.repeat(flows[0]).Verdict, steering.Forward) // nothing shows that the endpoint lives
@@ -305,7 +305,7 @@
 	for _, d := w.open(feedAddress); d.Verdict == steering.Forward; _, d = w.open(feedAddress) {
 		again++
 	}
-	is.Equal(again, coldBound/2)
+	is.Equal(again, coldBound/3)
 }
 
 // TestColdTimeEnds guards against an endpoint that stays cold because its entry, which still states the whole time, is
--- a/core/coordination/steering/explain_test.go
+++ b/core/coordination/steering/explain_test.go
@@ -161,7 +161,7 @@
 			opened++
 		}
 	}
-	is.Equal(opened, coldBound/2) // the part of one owner
+	is.Equal(opened, coldBound/3) // the part of one owner
 }
 
 // TestExplainedCandidates guards against answers that grow with the service, and likelihoods that do not add up.
--- a/core/coordination/warmup/limiter.go
+++ b/core/coordination/warmup/limiter.go
@@ -9,8 +9,9 @@
 // window is the time over which the flows opened on a cold endpoint are limited.
 const window = time.Second
 
-// ownersAtOnce is the number of owners that an endpoint may have at the same time. Each may open this part of the bound.
-const ownersAtOnce = 2
+// ownersAtOnce is the number of owners that an endpoint may have at the same time: one in each half of a cut failure domain, and
+// one that has just been cut off and does not know it yet. Each may open this part of the bound.
+const ownersAtOnce = 3
 
 // Share returns the number of flows that one owner may open on a cold endpoint in any window, where rate is the number
 // of requests per second that the endpoint can handle.
--- a/core/coordination/warmup/random_test.go
+++ b/core/coordination/warmup/random_test.go
@@ -331,3 +331,26 @@
 		}
 	})
 }
+
+// TestBoundHoldsInKnownCases guards against three owners: one in each half of a failure domain that is cut in two, and one
+// that has just started and missed the news of another member, since that was cut off alone within 1.5 s.
+func TestBoundHoldsInKnownCases(t *testing.T) {
+	tests := map[string]struct {
+		seed                          uint64
+		members, otherDomains, events int
+	}{
+		"owner is cut off, seed 9403":             {0x2af44605, 7, 7, 11},
+		"another newcomer is cut off, seed 37585": {0x1d30, 5, 10, 21},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := newSite(rand.New(rand.NewPCG(c.seed, 1)), c.members, c.otherDomains, warmup.Share(0, overshoot, slack))
+			s.run(c.events)
+			for e := range endpoints {
+				if most, from := s.mostInWindow(e); float64(most) > slack {
+					t.Errorf("%d flows on endpoint %d in the second from %v, want at most %v", most, e, from, slack)
+				}
+			}
+		})
+	}
+}
--- a/core/coordination/warmup/warmup.go
+++ b/core/coordination/warmup/warmup.go
@@ -4,8 +4,8 @@
 //
 // Only the owner of a cold endpoint opens flows on it: the balancer that ranks first for the endpoint among the members
 // of the endpoint's failure domain, in its own view of the members. Views differ while news of members spreads, and
-// balancers may be cut off from each other, so that there may be two owners for a time. Each therefore opens at most half
-// of what the endpoint may get, and a balancer uses what it owns only under conditions under which other balancers do not
+// balancers may be cut off from each other, so that there may be two or three owners for a time. Each therefore opens at most a
+// third of what the endpoint may get, and a balancer uses what it owns only under conditions under which other balancers do not
 // use it as well, see Ownership. If no balancer can be sure to be the owner, the endpoint gets no flows until it is warm.
 //
 // # Usage
@@ -35,7 +35,8 @@
 
 const (
 	// waitTime is how long a balancer must have ranked first, under all conditions, before it opens flows. News of members
-	// takes up to 1.5 s to reach the former owner.
+	// takes up to 1.5 s to reach the former owner. It is too short if a former owner is cut off before this balancer has
+	// learned of it, see "Not kept" in docs/design/cold-endpoints.md.
 	waitTime = 2 * time.Second
 	// memberWindow is the time over which the largest number of members is kept. A part of a failure domain that is cut
 	// off becomes an owner only after it.
