Prefer a slow endpoint to one that fails requests

An endpoint with reduced speed is passed over with a probability, and the next best one was taken whatever its failures. With few endpoints left that one may fail most requests.

--- a/core/coordination/steering/endpointspeed.go
+++ b/core/coordination/steering/endpointspeed.go
@@ -123,8 +123,8 @@
 			break
 		}
 		other, _ := f.choose(now, name, v)
-		if other == nil || other == v || !other.isEligible(now) {
-			break
+		if other == nil || other == v || !other.isEligible(now) || other.weight() < f.placementSpeed(now, v) {
+			break // none is left, or only one that fails requests, which is worse than a slow one
 		}
 		v.recentlyPlaced++
 		v = other
--- a/core/coordination/steering/interplay_test.go
+++ b/core/coordination/steering/interplay_test.go
@@ -208,3 +208,29 @@
 	serve(40, 80*time.Millisecond)
 	is.Equal(w.SlowEndpoints(), 1)
 }
+
+// TestSlowBeforeFailing guards against flows that pass over a slow endpoint and go to one that fails most requests, when few
+// endpoints are left.
+func TestSlowBeforeFailing(t *testing.T) {
+	is := is.New(t)
+	w := newHarness(endpoint("i-1", "attiki-1"), endpoint("i-2", "attiki-1"))
+	w.SetLearnsSpeed(true)
+	opened := map[string]int{}
+	for range 100 {
+		w.ApplyReport(w.now, &steering.Report{
+			Sender: 7,
+			Speeds: []steering.EndpointSpeed{
+				{Cookie: directory.Cookie("i-1", 0), Samples: 6, Ratio: 4}, {Cookie: directory.Cookie("i-2", 0), Samples: 6, Ratio: 1},
+			},
+			Outcomes: []steering.EndpointOutcomes{
+				{Cookie: directory.Cookie("i-1", 0), Good: 12}, {Cookie: directory.Cookie("i-2", 0), Good: 2, Bad: 10},
+			},
+		}, ownDomain)
+		w.advance(100 * time.Millisecond)
+		f := w.openEstablished(t)
+		opened[f.endpoint.ID]++
+		w.close(f)
+	}
+	t.Logf("new flows: %v", opened)
+	is.True(opened["i-1"] > opened["i-2"])
+}
