Add evacuations and cold endpoints to the fault soak

The soak had none of the faults that the new parts are for. Evacuations are written and deleted and endpoints restart cold, under their ID or a new one; both are checked by what endpoints see. The fleets of a test run use a loopback network of their own, so that two checkouts can run the process tests beside each other.

--- a/standin/direct/endpoint.go
+++ b/standin/direct/endpoint.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -20,7 +21,8 @@
 	Service       string
 	FailureDomain string
 	Slots         int
-	ClientPort    uint16 // at which all clients receive packets
+	ClientPort    uint16        // at which all clients receive packets
+	ColdTime      time.Duration // for which the endpoint is cold after its start
 }
 
 // Endpoint receives the packets of flows from balancers and answers the clients directly.
@@ -35,9 +37,11 @@
 	forged   atomic.Int64
 	opened   atomic.Int64
 
-	mu    sync.Mutex
-	entry map[string]any // as last written to the store
-	flows map[string]*endpointFlow
+	mu       sync.Mutex
+	entry    map[string]any // as last written to the store
+	flows    map[string]*endpointFlow
+	openings []time.Time // of all flows
+	warmAt   time.Time   // when the endpoint is no longer cold
 }
 
 type endpointFlow struct {
@@ -58,10 +62,13 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "parse the number at the end of the endpoint ID")
 	}
-	v := &Endpoint{settings: e, store: s, conn: conn, host: h, number: number, flows: make(map[string]*endpointFlow)}
+	v := &Endpoint{
+		settings: e, store: s, conn: conn, host: h, number: number, flows: make(map[string]*endpointFlow),
+		warmAt: time.Now().Add(e.ColdTime),
+	}
 	v.entry = map[string]any{
 		"service": e.Service, "address": conn.LocalAddr().String(), "zone": e.FailureDomain, "version": "v1",
-		"max_concurrency": e.Slots, "state": "ready", "cold_remaining_ms": 0, "seq": 1, "born": 1_800_000_000_000,
+		"max_concurrency": e.Slots, "state": "ready", "cold_remaining_ms": e.ColdTime.Milliseconds(), "seq": 1, "born": 1_800_000_000_000,
 	}
 	go v.run()
 	return v, s.Put("servers", e.ID, v.entry)
@@ -97,9 +104,23 @@
 func (e *Endpoint) Register() error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	return e.register()
+}
+
+func (e *Endpoint) register() error {
+	e.entry["cold_remaining_ms"] = max(0, time.Until(e.warmAt).Milliseconds())
 	return e.store.Put("servers", e.settings.ID, e.entry)
 }
 
+// Restart starts the endpoint again under its ID, without the flows of before. It is cold for a time.
+func (e *Endpoint) Restart(cold time.Duration) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.flows, e.warmAt = make(map[string]*endpointFlow), time.Now().Add(cold)
+	e.entry["born"] = e.entry["born"].(int) + 1
+	return e.register()
+}
+
 // Remove deletes the entry of the endpoint from the store.
 func (e *Endpoint) Remove() { e.store.Delete("servers", e.settings.ID) }
 
@@ -119,6 +140,16 @@
 // Opened returns the number of flows that were opened at the endpoint. Copies of an opening packet do not count.
 func (e *Endpoint) Opened() int64 { return e.opened.Load() }
 
+// FailureDomain returns the failure domain of the endpoint.
+func (e *Endpoint) FailureDomain() string { return e.settings.FailureDomain }
+
+// Openings returns the times at which the flows counted by Opened were opened, earliest first.
+func (e *Endpoint) Openings() []time.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Clone(e.openings)
+}
+
 // Close stops the endpoint. Its entry stays in the store.
 func (e *Endpoint) Close() {
 	_ = e.conn.Close()
@@ -157,6 +188,7 @@
 	case p.flags&flagOpen != 0:
 		if f == nil {
 			e.opened.Add(1)
+			e.openings = append(e.openings, time.Now())
 			f = &endpointFlow{sequence: rand.Uint32(), expected: p.sequence + 1}
 			e.flows[key] = f
 		}
--- a/test/process/direct_test.go
+++ b/test/process/direct_test.go
@@ -5,10 +5,13 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
+	"net"
 	"net/netip"
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -41,9 +44,26 @@
 	addedAddress = netip.MustParseAddrPort("198.18.0.3:8443")
 )
 
-// directFleetCount counts the fleets. Each fleet has its own loopback network, 127.78.N.0/24.
+// directFleetCount counts the fleets. Each fleet has its own loopback network, 127.M.N.0/24, where M belongs to this run.
 var directFleetCount atomic.Int32
 
+// directNetwork returns the second byte of the addresses of all fleets of this run. It holds a port there until the run
+// ends, so that runs beside each other choose different ones.
+var directNetwork = sync.OnceValues(func() (byte, error) {
+	const first, count = 80, 40
+	var failed error
+	for i := range count {
+		n := byte(first + (os.Getpid()+i)%count)
+		if networkHold, failed = net.Listen("tcp4", fmt.Sprintf("127.%d.0.1:9464", n)); failed == nil {
+			return n, nil
+		}
+	}
+	return 0, failed
+})
+
+// networkHold holds the port of directNetwork; a listener without a reference would be closed.
+var networkHold net.Listener
+
 // directFleet is a running deployment in the direct return mode: the stand-ins in this process, balancers as processes.
 type directFleet struct {
 	t         *testing.T
@@ -55,6 +75,15 @@
 	clients   netip.Addr
 	version   uint64
 	routes    map[netip.AddrPort]string
+	options   directOptions
+}
+
+// directOptions are the properties in which directFleets differ.
+type directOptions struct {
+	era      uint64         // of the store
+	bounds   string         // further fields of bounds in the settings
+	settings string         // further lines of the settings
+	service  map[string]any // further fields of each service in the configuration
 }
 
 type directBalancer struct {
@@ -69,11 +98,17 @@
 // startDirect starts 4 balancers in two failure domains in front of 6 endpoints of two services. The store sends no era.
 func startDirect(t *testing.T) *directFleet {
 	t.Helper()
-	return startDirectInEra(t, 0)
+	return startDirectWith(t, directOptions{})
 }
 
 // startDirectInEra is startDirect with an era of the store.
 func startDirectInEra(t *testing.T, era uint64) *directFleet {
+	t.Helper()
+	return startDirectWith(t, directOptions{era: era})
+}
+
+// startDirectWith is startDirect with options.
+func startDirectWith(t *testing.T, o directOptions) *directFleet {
 	t.Helper()
 	port, err := netip.ParseAddrPort(freeAddress(t))
 	if err != nil {
@@ -81,9 +116,10 @@
 	}
 	f := &directFleet{
 		t: t, folder: t.TempDir(), store: direct.NewStore(), port: port.Port(), endpoints: map[string]*direct.Endpoint{},
-		routes: map[netip.AddrPort]string{feedAddress: "feed", imageAddress: "images"},
+		routes:  map[netip.AddrPort]string{feedAddress: "feed", imageAddress: "images"},
+		options: o,
 	}
-	f.store.SetEra(era)
+	f.store.SetEra(o.era)
 	t.Cleanup(f.close)
 	f.configure()
 	for i, domain := range []string{"attiki-a", "attiki-b", "attiki-a", "attiki-b"} {
@@ -91,10 +127,14 @@
 	}
 	f.addEndpoint("i-a0", "images", "attiki-a")
 	f.addEndpoint("i-a1", "images", "attiki-b")
+	run, err := directNetwork()
+	if err != nil {
+		t.Fatal(err)
+	}
 	network := byte(directFleetCount.Add(1))
-	f.clients = netip.AddrFrom4([4]byte{127, 78, network, 100})
+	f.clients = netip.AddrFrom4([4]byte{127, run, network, 100})
 	for i, domain := range []string{"attiki-a", "attiki-a", "attiki-b", "attiki-b"} {
-		ip := netip.AddrFrom4([4]byte{127, 78, network, byte(i + 1)})
+		ip := netip.AddrFrom4([4]byte{127, run, network, byte(i + 1)})
 		f.addBalancer(fmt.Sprint("front-", i), domain, ip)
 	}
 	for _, b := range f.balancers {
@@ -132,7 +172,9 @@
 			"name": "r-" + service, "host": a.Addr().String(), "path_prefix": fmt.Sprintf("/%d/", a.Port()),
 			"service": service, "type": "safe",
 		})
-		services = append(services, map[string]any{"name": service})
+		x := map[string]any{"name": service}
+		maps.Copy(x, f.options.service)
+		services = append(services, x)
 	}
 	err := f.store.Put("config", "main", map[string]any{
 		"version": f.version, "routes": routes, "services": services, "limits": map[string]any{"idle_timeout_ms": 15000},
@@ -143,9 +185,15 @@
 }
 
 func (f *directFleet) addEndpoint(id, service, domain string) {
+	f.t.Helper()
+	f.addColdEndpoint(id, service, domain, 0)
+}
+
+// addColdEndpoint adds an endpoint that is cold for a time.
+func (f *directFleet) addColdEndpoint(id, service, domain string, cold time.Duration) {
 	f.t.Helper()
 	e, err := direct.StartEndpoint(f.store, direct.EndpointSettings{
-		ID: id, Service: service, FailureDomain: domain, Slots: 3, ClientPort: f.port,
+		ID: id, Service: service, FailureDomain: domain, Slots: 3, ClientPort: f.port, ColdTime: cold,
 	})
 	if err != nil {
 		f.t.Fatal(err)
@@ -172,10 +220,11 @@
 listen: {datagram_addr: "%[3]s:%[4]d", ready_addr: "%[3]s:%[5]d", control: "%[3]s:%[6]d"}
 internal_port_range: [%[7]d, %[7]d]
 seeds: ["%[8]s:%[6]d"]
-bounds: {config_apply_ms: %[9]d, drain_ms: %[11]d, grace_s: 6, max_flow_s: 60}
+bounds: {config_apply_ms: %[9]d, drain_ms: %[11]d, grace_s: 6, max_flow_s: 60%[12]s}
 platform: {address: "%[10]s"}
+%[13]s
 `, id, domain, ip, f.port, f.port+1, f.port+2, f.port+3, f.balancers[0].ip, applyLimit.Milliseconds(), b.proxy.Address,
-		leaveLimit.Milliseconds())
+		leaveLimit.Milliseconds(), f.options.bounds, f.options.settings)
 	if err := os.WriteFile(b.settings, []byte(text), 0o600); err != nil {
 		f.t.Fatal(err)
 	}
--- a/test/process/soak_test.go
+++ b/test/process/soak_test.go
@@ -3,7 +3,10 @@
 import (
 	"flag"
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"os"
+	"path/filepath"
 	"sync"
 	"syscall"
 	"testing"
@@ -20,6 +23,7 @@
 var (
 	soakFirst = flag.Uint64("soak.first", 1, "first seed of the soak of the direct return mode")
 	soakSeeds = flag.Uint64("soak.seeds", 1, "number of seeds of the soak")
+	soakLogs  = flag.String("soak.logs", "", "folder to which the logs of the balancers of a failed seed are copied")
 )
 
 const (
@@ -38,7 +42,13 @@
 	lastEndpoint int // number of the endpoint that was added last
 
 	mu    sync.Mutex // guards directBalancer.process
-	fleet sync.Mutex // guards endpoints, routes and version of directFleet
+	fleet sync.Mutex // guards endpoints, routes and version of directFleet, and the fields below
+
+	wanted        map[string]bool      // failure domains that the operator has evacuated
+	stored        map[string]time.Time // the same as the store has them, with the time of the write
+	evacuations   []evacuation         // that have ended
+	disturbances  []period             // in which a balancer was not in contact with the store
+	coldEndpoints []coldEndpoint
 }
 
 // faults maps each kind of fault to the method that injects it and returns a description for the log.
@@ -55,10 +65,13 @@
 	"silence":   (*soak).silenceEndpoint,
 	"slow":      (*soak).slowEndpoint,
 	"restore":   (*soak).restoreStore,
+	"evacuate":  (*soak).changeEvacuation,
+	"cold":      (*soak).startCold,
 }
 
 // faultOrder fixes the index of each kind, so that a seed always selects the same faults.
-var faultOrder = []string{"kill", "pause", "restart", "reload", "network", "store", "compact", "configure", "replace", "silence", "slow", "restore"}
+var faultOrder = []string{"kill", "pause", "restart", "reload", "network", "store", "compact", "configure", "replace", "silence", "slow", "restore",
+	"evacuate", "cold"}
 
 // TestDirectSoak injects random faults of all kinds into real processes. Meanwhile no open flow may be reset while its
 // endpoint is alive, no packet may be changed or reach another service, and no process may go back to an older version.
@@ -85,9 +98,14 @@
 
 func runSoak(t *testing.T, seed uint64) {
 	s := &soak{
-		directFleet: startDirectInEra(t, 1), random: rand.New(rand.NewPCG(seed, 0)), stop: make(chan struct{}),
-		lastEndpoint: endpointBase,
+		directFleet: startDirectWith(t, soakOptions), random: rand.New(rand.NewPCG(seed, 0)), stop: make(chan struct{}),
+		lastEndpoint: endpointBase, wanted: map[string]bool{}, stored: map[string]time.Time{},
 	}
+	t.Cleanup(func() {
+		if t.Failed() && *soakLogs != "" {
+			t.Log(os.CopyFS(filepath.Join(*soakLogs, fmt.Sprint(seed)), os.DirFS(s.folder)))
+		}
+	})
 	s.load = s.startLoad(soakFlows)
 	var watch sync.WaitGroup
 	for _, b := range s.balancers {
@@ -122,11 +140,14 @@
 		}
 		return nil
 	})
+	s.endEvacuations()
 	time.Sleep(time.Second)
 	before := s.load.Result()
 	time.Sleep(time.Second)
 	r := s.load.Stop()
 	s.checkResult(r)
+	s.checkEvacuations()
+	s.checkCold()
 	is.True(r.Answered-before.Answered > 100) // requests are answered
 	is.True(r.Unopened-before.Unopened <= 2)
 }
@@ -190,7 +211,7 @@
 func (s *soak) pauseBalancer() string {
 	p := s.processOf(s.randomBalancer())
 	p.signal(syscall.SIGSTOP)
-	return fmt.Sprintf("%s for %v", p.name, s.afterRandomTime(func() { p.signal(syscall.SIGCONT) }))
+	return fmt.Sprintf("%s for %v", p.name, s.disturb(s.afterRandomTime(func() { p.signal(syscall.SIGCONT) })))
 }
 
 func (s *soak) restartBalancer() string {
@@ -221,14 +242,16 @@
 	b := s.randomBalancer()
 	f := proxy.Fault{Mode: proxy.Mode(1 + s.random.IntN(int(proxy.ModeCount)-1)), Delay: 400 * time.Millisecond}
 	b.proxy.Set(f)
-	return fmt.Sprintf("%s mode %d for %v", b.id, f.Mode, s.afterRandomTime(func() { b.proxy.Set(proxy.Fault{}) }))
+	return fmt.Sprintf("%s mode %d for %v", b.id, f.Mode,
+		s.disturb(s.afterRandomTime(func() { b.proxy.Set(proxy.Fault{}) })))
 }
 
 func (s *soak) storeFault() string {
 	b := s.randomBalancer()
 	f := []direct.Fault{{Status: 503}, {Status: 429}, {IsSilent: true}, {LoseAll: true}}[s.random.IntN(4)]
 	b.storeListener.SetFault(f)
-	return fmt.Sprintf("%s %+v for %v", b.id, f, s.afterRandomTime(func() { b.storeListener.SetFault(direct.Fault{}) }))
+	return fmt.Sprintf("%s %+v for %v", b.id, f,
+		s.disturb(s.afterRandomTime(func() { b.storeListener.SetFault(direct.Fault{}) })))
 }
 
 func (s *soak) compactStore() string {
@@ -268,13 +291,18 @@
 // restoreStore restores the store after a random time from a copy taken now. The endpoints write their entries again
 // registerTime later, and the operator writes the configuration.
 func (s *soak) restoreStore() string {
-	c := s.store.Copy()
+	s.fleet.Lock()
+	defer s.fleet.Unlock()
+	c, evacuated := s.store.Copy(), maps.Clone(s.stored)
 	d := s.afterRandomTime(func() {
-		s.store.Restore(c)
+		s.fleet.Lock()
+		s.setStored(evacuated, func() { s.store.Restore(c) })
+		s.fleet.Unlock()
 		time.Sleep(registerTime)
 		s.fleet.Lock()
 		defer s.fleet.Unlock()
 		s.writeAgain()
+		s.writeEvacuations()
 	})
 	return fmt.Sprintf("a copy of the store comes back after %v", d)
 }
