--- a/test/process/soakchecks_test.go
+++ b/test/process/soakchecks_test.go
@@ -113,11 +113,15 @@
 	}
 }
 
-// endEvacuations ends all evacuations and checks that the failure domains get flows again.
+// endEvacuations ends all evacuations and checks that the failure domains get flows again. Before, it waits until the limit
+// of each has passed, so that checkEvacuations has a period to check.
 func (s *soak) endEvacuations() {
 	s.t.Helper()
 	s.fleet.Lock()
 	ended := maps.Clone(s.stored)
+	for _, written := range ended {
+		time.Sleep(time.Until(s.limitFrom(written, soakEvacuateLimit).Add(time.Second)))
+	}
 	for domain := range s.wanted {
 		s.wanted[domain] = false
 	}
@@ -142,12 +146,15 @@
 		end := s.limitFrom(v.from, soakEvacuateLimit).Add(packetTime)
 		s.t.Logf("%s was evacuated for %v, checked for %v", v.domain, v.until.Sub(v.from), max(0, v.until.Sub(end)))
 		for id, e := range s.endpoints {
+			var found []time.Duration // since the limit
 			for _, opened := range e.Openings() {
 				if e.FailureDomain() == v.domain && opened.After(end) && opened.Before(v.until) {
-					s.t.Errorf("%s: flow opened %v after the evacuation of %s, %v after its limit", id, opened.Sub(v.from),
-						v.domain, opened.Sub(end))
+					found = append(found, opened.Sub(end))
 				}
 			}
+			if len(found) > 0 {
+				s.t.Errorf("%s: flows opened in %s, evacuated since %v, after the limit of %v: %v", id, v.domain, v.from, end, found)
+			}
 		}
 	}
 }
