Keep repeated openings, start refusals later, and end a former set of evacuations by a later read

A repeated opening packet for which there is no endpoint any more was reset although an endpoint may have opened its flow; so was a late duplicate in an overload. After a restore, the evacuations of the former era ended 2.2 s later by a set that was read before.

Change: such packets are dropped or sent on; a former set ends only when the present one was the newest after 2.2 s; refusals begin at 3.5.

--- a/core/coordination/evacuation/evacuation.go
+++ b/core/coordination/evacuation/evacuation.go
@@ -6,7 +6,7 @@
 // A set is complete and belongs to one position of the store; sets are never combined within an era. The set with the
 // highest position wins, so that no set returns to an older one. After the store was restored from a copy, which raises
 // the era, the operator may not have written each object again yet. The sets of both eras are then in force together for
-// RewriteTime.
+// RewriteTime, and until the new set was known to be the newest after it.
 //
 // A set is as old as the time since it was last known to be the newest. A watch of the endpoints shows the revision of the
 // whole store: if it is the one of the set, or all changes since were changes of endpoints, the set is still the newest.
@@ -129,7 +129,14 @@
 // NeedsRead reports whether the set may have changed in the store, or was not known to be the newest for longer than
 // maxAge.
 func (s *State) NeedsRead(now time.Time, maxAge time.Duration) bool {
-	return !s.isKnown || s.current.Compare(s.changedAt) < 0 || s.Age(now) > maxAge
+	isOverdue := len(s.former) > 0 && !now.Before(s.formerUntil) && s.keepsFormer(now)
+	return !s.isKnown || s.current.Compare(s.changedAt) < 0 || s.Age(now) > maxAge || isOverdue
+}
+
+// keepsFormer reports whether the set of the former era is still in force. It ends when the present set was the newest after
+// RewriteTime: an object that the operator has written at the end of that time must not be missed.
+func (s *State) keepsFormer(now time.Time) bool {
+	return len(s.former) > 0 && (now.Before(s.formerUntil) || s.asOf.Before(s.formerUntil))
 }
 
 // Age returns the time since the set was last known to be the newest.
@@ -154,7 +161,7 @@
 
 // Domains returns the failure domains that are evacuated now, sorted. The caller must not change them.
 func (s *State) Domains(now time.Time) []string {
-	if len(s.former) == 0 || !now.Before(s.formerUntil) {
+	if !s.keepsFormer(now) {
 		return s.current.Domains
 	}
 	return sorted(slices.Concat(s.former, s.current.Domains))
--- a/core/coordination/overload/overload.go
+++ b/core/coordination/overload/overload.go
@@ -31,7 +31,7 @@
 const (
 	// FullUse is the utilization up to which everything is admitted. Requests must wait at the endpoints, since otherwise
 	// slots are idle when the load is not spread evenly over them.
-	FullUse = 2.5
+	FullUse = 3.5
 	// Span is the utilization by which FullUse must be exceeded for all flows of the least urgent priority to be refused.
 	// Endpoints with two slots that queue eight requests refuse further ones at a utilization of 5, whatever their
 	// priority.
--- a/core/coordination/steering/interplay_test.go
+++ b/core/coordination/steering/interplay_test.go
@@ -170,6 +170,30 @@
 	is.Equal(w.TrackedFlows(), before+1) // adopted anew, since it was forgotten
 }
 
+// TestDuplicateOfOpenFlow guards against a reset of an open flow by a late duplicate of its opening packet, while the service
+// is overloaded: the endpoint may run its request.
+func TestDuplicateOfOpenFlow(t *testing.T) {
+	is := is.New(t)
+	w := newRoomHarness(1)
+	var open []*flow
+	for range 40 {
+		open = append(open, w.openEstablished(t))
+	}
+	for range 10 {
+		w.reportRequests(400)
+		w.advance(100 * time.Millisecond)
+		w.open(urgentAddress)
+	}
+	refused := 0
+	for _, f := range open {
+		is.True(w.repeat(f).Verdict != steering.Reset)
+		if _, d := w.open(feedAddress); d.Reason == steering.ReasonNoRoom {
+			refused++
+		}
+	}
+	is.True(refused > 0)
+}
+
 // TestAbandonedRequestsHideNoSlowness guards against an endpoint that is slow and counts as fast, because the requests of
 // clients that have given up, or whose flows reach other balancers now, count as its queue.
 func TestAbandonedRequestsHideNoSlowness(t *testing.T) {
--- a/core/coordination/steering/steering.go
+++ b/core/coordination/steering/steering.go
@@ -273,14 +273,13 @@
 			excluded = f.flows[p.Flow].endpointState
 		}
 		service := f.serviceOf(route, p.Flow)
-		if !isRepeated && p.Copy == 0 && !f.admits(now, route, service, p.Flow) {
+		if !isRepeated && p.Copy == 0 && !f.isActive(now, p.Flow) && !f.admits(now, route, service, p.Flow) {
 			f.forget(p.Flow)
 			return Decision{Verdict: Reset, Reason: ReasonNoRoom}
 		}
 		var reason Reason
 		if v, reason = f.chooseBySpeed(now, service, excluded); v == nil {
-			f.forget(p.Flow)
-			return Decision{Verdict: Reset, Reason: reason}
+			return f.refuseOpening(p, reason, excluded)
 		}
 		if v != excluded {
 			f.recordOpened(now, v)
@@ -294,6 +293,25 @@
 	return d
 }
 
+// isActive reports whether a flow is open and its client has sent a packet lately. An opening packet of such a flow is a
+// duplicate of the one that opened it.
+func (f *Forwarder) isActive(now time.Time, k FlowKey) bool {
+	w := f.flows[k]
+	return w != nil && !w.isOpening && now.Sub(w.lastPacketAt) < openTime
+}
+
+// refuseOpening decides on an opening packet for which there is no endpoint. It resets the flow if no endpoint can have
+// opened it. An earlier copy may have been sent to an endpoint that still lives, by this balancer or another one, and may
+// be answered; then the packet is dropped, and the client stops trying after its last copy.
+func (f *Forwarder) refuseOpening(p *Packet, reason Reason, former *endpointState) Decision {
+	mayBeOpen := former != nil && !former.endpoint.IsGone || former == nil && p.Copy > 0 && reason != ReasonNoEndpoint
+	if mayBeOpen {
+		return Decision{Reason: reason}
+	}
+	f.forget(p.Flow)
+	return Decision{Verdict: Reset, Reason: reason}
+}
+
 // missingRoute decides on an opening packet to an address without a route. It resets the flow if the route was removed
 // or the configuration is known to be fresh. Otherwise it drops the packet: the client retransmits it, and a fresher
 // configuration may decide.
