--- a/command/fleet.go
+++ b/command/fleet.go
@@ -229,7 +229,8 @@
 func (w *fleetWatcher) print(s operator.Summary) {
 	lines := make(map[string]string)
 	for _, d := range s.FailureDomains {
-		lines[printable(d.FailureDomain)] = fmt.Sprintf("%d of %d balancers ready, version %s", d.Ready, d.Balancers, versionsText(d.Versions))
+		lines[printable(d.FailureDomain)] = fmt.Sprintf("%d of %d balancers ready, version %s",
+			d.Ready, d.Balancers, versionsText(d.Versions))
 	}
 	for _, e := range s.Evacuations {
 		lines["evacuated "+printable(e.FailureDomain)] = inForceText(e)
--- a/core/coordination/spread/spread.go
+++ b/core/coordination/spread/spread.go
@@ -3,9 +3,9 @@
 //
 // # Rules
 //
-// The balancer with the highest rendezvous rank among those of the highest weight of a failure domain is its reader: it reads the store continuously and
-// announces its state, also when nothing has changed. Announcements are forwarded along a tree that each balancer
-// computes from its own view of the members. Every balancer records the time at which its state was last known to be
+// The balancer with the highest rendezvous rank among those of the highest weight of a failure domain is its reader: it
+// reads the store continuously and announces its state, also when nothing has changed. Announcements are forwarded along a
+// tree that each balancer computes from its own view of the members. Every balancer records the time at which its state was last known to be
 // the newest. If that time is too long ago, for whatever reason, the balancer reads the store itself and announces the
 // result; balancers with a better rank do so earlier. If the views of balancers differ, they therefore read the store
 // more often than needed, but never keep an old state.
--- a/core/coordination/steering/choice.go
+++ b/core/coordination/steering/choice.go
@@ -188,7 +188,9 @@
 
 // cheapest returns the endpoint with the lowest cost of a number of random ones, with its cost. If all of these are
 // suspect, it compares all endpoints of the group.
-func (f *Forwarder) cheapest(now time.Time, s *service, g *group, choices int, excluded *endpointState) (*endpointState, float64) {
+func (f *Forwarder) cheapest(
+	now time.Time, s *service, g *group, choices int, excluded *endpointState,
+) (*endpointState, float64) {
 	n := len(g.endpoints)
 	var best *endpointState
 	lowest := 0.0
@@ -219,8 +221,8 @@
 	}
 	f.suspectUnconfirmed(now, v)
 	reporters := f.domainOf(f.config.FailureDomain).reporters
-	cost := f.loadOf(now, v, reporters) - f.speedDiscount(now, v, reporters) + tieBreakNoise*f.random.Float64()/float64(max(v.endpoint.Slots, 1))
-	cost += f.requestCost(now, v)
+	cost := f.loadOf(now, v, reporters) - f.speedDiscount(now, v, reporters) + f.requestCost(now, v)
+	cost += tieBreakNoise * f.random.Float64() / float64(max(v.endpoint.Slots, 1))
 	if v.penalty > 0 {
 		// The load of an endpoint with few flows is a poor basis for the penalty, so at least the mean load is used.
 		cost += max(cost, s.meanLoad) * (1/v.weight() - 1)
--- a/io/protocol/wire/peer/directory.go
+++ b/io/protocol/wire/peer/directory.go
@@ -319,7 +319,8 @@
 	}
 	for _, s := range r.Speeds {
 		x.Speeds = append(x.Speeds, &Speed{
-			Cookie: s.Cookie, SampleTenths: toTenths(s.Samples), RatioHundredths: uint32(math.Round(100 * min(max(s.Ratio, 0), maxReportedRatio))),
+			Cookie: s.Cookie, SampleTenths: toTenths(s.Samples),
+			RatioHundredths: uint32(math.Round(100 * min(max(s.Ratio, 0), maxReportedRatio))),
 		})
 	}
 	for _, v := range r.Rooms {
@@ -368,11 +369,14 @@
 	}
 	for _, s := range x.GetSpeeds() {
 		r.Speeds = append(r.Speeds, steering.EndpointSpeed{
-			Cookie: s.GetCookie(), Samples: fromTenths(s.GetSampleTenths()), Ratio: min(float64(s.GetRatioHundredths())/100, maxReportedRatio),
+			Cookie: s.GetCookie(), Samples: fromTenths(s.GetSampleTenths()),
+			Ratio: min(float64(s.GetRatioHundredths())/100, maxReportedRatio),
 		})
 	}
 	for _, v := range x.GetRooms() {
-		r.Rooms = append(r.Rooms, steering.ServiceRoom{Service: v.GetService(), Outstanding: int(min(v.GetOutstanding(), maxReportedFlows))})
+		r.Rooms = append(r.Rooms, steering.ServiceRoom{
+			Service: v.GetService(), Outstanding: int(min(v.GetOutstanding(), maxReportedFlows)),
+		})
 	}
 	return r, nil
 }
--- a/io/transport/direct/direct.go
+++ b/io/transport/direct/direct.go
@@ -47,7 +47,7 @@
 	FlowAge         time.Duration    // longest life of a flow
 
 	EvacuateLimit time.Duration // within which an evacuation must take effect; 0 if there are none
-	ColdOvershoot float64       // factor of the rate of a cold endpoint that all balancers together may reach; 0 if there is no limit
+	ColdOvershoot float64       // part of its rate that all balancers together may send a cold endpoint; 0 if there is no limit
 	ColdSlack     float64       // flows in a second that are allowed beyond that
 	LearnsSpeed   bool          // whether new flows follow the speed of endpoints
 	Processor     float64       // cores of this host; 0 if unknown
@@ -71,8 +71,9 @@
 	// Endpoints lists all endpoints, with the position of the list. If isFresh is false, the list may be seconds old.
 	Endpoints(ctx context.Context, isFresh bool) ([]directory.Endpoint, directory.Position, []Fault, error)
 	// WatchEndpoints waits for changes after a position, at most for wait, and returns them with the position to
-	// continue from. The reply holds all changes that the store had acknowledged when the call began. The error is a *HistoryGoneError if the store no longer has all changes after that revision,
-	// or has been restored from a copy since. The era of a position is 0 if the reply has none.
+	// continue from. The reply holds all changes that the store had acknowledged when the call began. The error
+	// is a *HistoryGoneError if the store no longer has all changes after that revision, or has been restored from a copy
+	// since. The era of a position is 0 if the reply has none.
 	WatchEndpoints(ctx context.Context, after directory.Position, wait time.Duration) (
 		[]discovery.Change, directory.Position, []Fault, error,
 	)
--- a/io/transport/direct/peers.go
+++ b/io/transport/direct/peers.go
@@ -72,12 +72,13 @@
 // fail if no other balancer can be reached.
 func joinPeers(p *Process) error {
 	s := p.settings
-	h := &peers{process: p, speedBudget: rate.NewLimiter(speedBytes, speedBurst), fetching: make(chan struct{}, 1), reportNow: make(chan struct{}, 1), self: member.Host{
+	h := &peers{process: p, fetching: make(chan struct{}, 1), reportNow: make(chan struct{}, 1), self: member.Host{
 		ID: s.ID, FailureDomain: s.FailureDomain, Address: s.PeerAddress,
 		Incarnation: member.Incarnation(rand.Uint64() | 1), // 0 means no incarnation
 		Weight:      spread.HostWeight(s.Processor, s.LinkMbps),
 	}}
 	h.slowness, h.weight = spread.NewSlowness(tickInterval), h.self.Weight
+	h.speedBudget = rate.NewLimiter(speedBytes, speedBurst)
 	h.plan = spread.New(h.self.Incarnation, s.FailureDomain, s.limits())
 	p.peers = h // before Listen, after which messages arrive
 	if !s.PeerAddress.IsValid() {
@@ -397,7 +398,8 @@
 
 // sendSpeeds sends fresh speeds of endpoints to random balancers of the failure domain, as far as the budget permits.
 func (h *peers) sendSpeeds(now time.Time) {
-	if h.transport == nil || now.Sub(h.speedsSentAt) < speedInterval || h.speedBudget.TokensAt(now) < reportHeaderBytes+speedEntryBytes {
+	isDue := now.Sub(h.speedsSentAt) >= speedInterval && h.speedBudget.TokensAt(now) >= reportHeaderBytes+speedEntryBytes
+	if h.transport == nil || !isDue {
 		return
 	}
 	h.speedsSentAt = now
