Refuse no flow for lack of room just after the start

Change: nothing is refused for lack of room for 5 s after the start, the time that such flows count here and in reports.

--- a/core/coordination/steering/explain.go
+++ b/core/coordination/steering/explain.go
@@ -135,7 +135,7 @@
 	}
 	random := rand.New(rand.NewPCG(math.Float64bits(fraction(k)), uint64(now.UnixNano())))
 	c := New(f.config, discard{}, random)
-	c.snapshot, c.confirmedAt = f.snapshot, f.confirmedAt
+	c.snapshot, c.confirmedAt, c.configuredAt = f.snapshot, f.confirmedAt, f.configuredAt
 	c.healthEvents = make([]HealthEvent, maxHealthEvents) // full, so that none is kept
 	if x.Route = f.snapshot.RouteOf(k.Service); x.Route == nil {
 		return c
--- a/core/coordination/steering/room.go
+++ b/core/coordination/steering/room.go
@@ -33,6 +33,10 @@
 	nearSaturation = 0.8
 	// responseUse is the utilization up to which response times count as usual ones, without waiting.
 	responseUse = 1.0
+	// settlingTime is the time after the start in which no flow is refused for lack of room. A balancer that starts adopts
+	// flows that their endpoints have closed meanwhile, and takes their retransmissions for requests without an answer until
+	// abandonedTime and a sweep have passed; the last reports of it count for roomReportAge more.
+	settlingTime = abandonedTime + sweepInterval + roomReportAge
 	// admissionSeed makes the admission of a flow independent of other decisions by its hash.
 	admissionSeed = 0x6f766572
 )
@@ -99,7 +103,7 @@
 		return true
 	}
 	f.refreshRoom(now, r)
-	if r.Admits(route.Priority, cmp.Or(route.Aim, route.Timeout), seededFraction(k, admissionSeed)) {
+	if now.Sub(f.configuredAt) < settlingTime || r.Admits(route.Priority, cmp.Or(route.Aim, route.Timeout), seededFraction(k, admissionSeed)) {
 		return true
 	}
 	f.recorder.Count(metric.NoRoom, strconv.Itoa(route.Priority), 1)
