Switch the refusals of overloaded services off

Change: steering.Config.RefusesFlows, which the platform's settings do not set. Placement by outstanding requests and the treatment of full endpoints stay.

--- a/core/coordination/steering/room.go
+++ b/core/coordination/steering/room.go
@@ -103,7 +103,7 @@
 		return true
 	}
 	f.refreshRoom(now, r)
-	if now.Sub(f.configuredAt) < settlingTime || r.Admits(route.Priority, cmp.Or(route.Aim, route.Timeout), seededFraction(k, admissionSeed)) {
+	if !f.config.RefusesFlows || now.Sub(f.configuredAt) < settlingTime || r.Admits(route.Priority, cmp.Or(route.Aim, route.Timeout), seededFraction(k, admissionSeed)) {
 		return true
 	}
 	f.recorder.Count(metric.NoRoom, strconv.Itoa(route.Priority), 1)
--- a/core/coordination/steering/room_test.go
+++ b/core/coordination/steering/room_test.go
@@ -16,6 +16,7 @@
 // newRoomHarness returns a harness with endpoints of a service that has a more urgent and a less urgent route.
 func newRoomHarness(endpoints int) *harness {
 	w := newHarness()
+	w.SetRefusesFlows(true)
 	w.answersProbes = map[string]bool{}
 	for i := range endpoints {
 		e := endpoint(fmt.Sprintf("i-%x", i+1), "attiki-1")
@@ -206,6 +207,7 @@
 	is := is.New(t)
 	former := newRoomHarness(4)
 	w := newHarness()
+	w.SetRefusesFlows(true)
 	w.endpoints, w.routes = former.endpoints, former.routes
 	w.publish()
 	for range 300 {
--- a/core/coordination/steering/steering.go
+++ b/core/coordination/steering/steering.go
@@ -120,6 +120,7 @@
 	ConfirmedFor time.Duration
 	MaxFlows     int  // limit of tracked flows; others are forwarded untracked. 0 means DefaultMaxFlows
 	LearnsSpeed  bool // whether new flows follow the speed of endpoints, see endpointspeed.go
+	RefusesFlows bool // whether overloaded services refuse flows of less urgent routes, see room.go
 }
 
 // Forwarder decides on packets.
--- a/core/state/metric/metric.go
+++ b/core/state/metric/metric.go
@@ -65,7 +65,7 @@
 	SlowEndpoints     Gauge = "endpoints_slow"                 // endpoints with fewer new flows because they are slow
 	ColdEndpoints     Gauge = "endpoints_cold"                 // endpoints that are cold and whose flows are limited
 	TrackedFlows      Gauge = "flows_tracked"
-	OverloadedCount   Gauge = "services_overloaded" // services that refuse new flows, or have done so a moment ago
+	OverloadedCount   Gauge = "services_overloaded" // services with too little room, now or a moment ago
 	ReachableMembers  Gauge = "members_reachable"   // reachable balancers, this one included
 	IsStoreReader     Gauge = "is_reader"           // 1 while this balancer reads the store for its failure domain
 	LogLinesDropped   Gauge = "log_lines_dropped"   // log lines dropped since the start because the output was too slow
--- a/io/transport/direct/direct.go
+++ b/io/transport/direct/direct.go
@@ -50,6 +50,7 @@
 	ColdOvershoot float64       // part of its rate that all balancers together may send a cold endpoint; 0 if there is no limit
 	ColdSlack     float64       // flows in a second that are allowed beyond that
 	LearnsSpeed   bool          // whether new flows follow the speed of endpoints
+	RefusesFlows  bool          // whether overloaded services refuse flows of less urgent routes
 	Processor     float64       // cores of this host; 0 if unknown
 	LinkMbps      float64       // bandwidth of this host's link; 0 if unknown
 }
@@ -175,6 +176,7 @@
 	p.forwarder = steering.New(steering.Config{
 		FailureDomain: p.settings.FailureDomain, FlowAge: p.settings.FlowAge,
 		ConfirmedFor: p.settings.limits().Configuration, LearnsSpeed: p.settings.LearnsSpeed,
+		RefusesFlows: p.settings.RefusesFlows,
 	}, p.metrics, random)
 	p.forwarder.SetColdLimit(p.adapters.Clock.Now(), p.settings.coldLimit())
 	if err = joinPeers(p); err != nil {
