--- a/review/testdata/rig/client.go
+++ b/review/testdata/rig/client.go
@@ -26,6 +26,7 @@
 
 	seq, ack, echo uint32
 	isOpen         bool
+	openAt         netip.Addr // as endpoint, guarded by world.mu
 	endpoint       netip.Addr // whose SYN+ACK the client acknowledged
 	synAt          []time.Time
 	synVia         []*balancer
@@ -76,6 +77,9 @@
 			case d.flags&flagSyn != 0 && d.ack == f.seq+1:
 				f.isOpen, f.endpoint, f.openedAt = true, d.from, time.Now()
 				f.seq, f.ack, f.echo = f.seq+1, d.seq+1, d.echo
+				f.world.mu.Lock()
+				f.openAt = d.from
+				f.world.mu.Unlock()
 				f.send(packet{seq: f.seq, ack: f.ack, flags: flagAck})
 				return true
 			}
